Serve callers on the users' platform, as a thin whole path

The platform has no local process beside plain services and its targets refuse requests by themselves, so entries send straight to targets.

--- a/cmd/camphorbankd/main.go
+++ b/cmd/camphorbankd/main.go
@@ -1,4 +1,4 @@
-// Command camphorbankd is the camphorbank daemon, in the role entry or local.
+// Command camphorbankd is the camphorbank daemon, in the role entry or local, or as a process on the platform.
 package main
 
 import (
@@ -36,7 +36,7 @@
 
 func exitStatus(err error) int {
 	var findings finding.List
-	if errors.As(err, &findings) || errors.Is(err, errUsage) || errors.Is(err, os.ErrNotExist) {
+	if errors.As(err, &findings) || errors.Is(err, errUsage) || errors.Is(err, errNoPlatform) || errors.Is(err, os.ErrNotExist) {
 		return exitSettings
 	}
 	return exitFailure
@@ -45,9 +45,13 @@
 func run() error {
 	fs := flag.NewFlagSet("camphorbankd", flag.ExitOnError)
 	path := fs.String("config", "", "settings file (TOML)")
+	onPlatform := fs.Bool("platform", false, "take the settings that the platform wrote for this VM")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("CAMPHORBANKD")); err != nil {
 		return err
 	}
+	if *onPlatform {
+		return runOnPlatform()
+	}
 	if *path == "" {
 		return errUsage
 	}
--- /dev/null
+++ b/cmd/camphorbankd/platform.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/camphorbank/camphorbank/internal/logline"
+	"github.com/camphorbank/camphorbank/internal/node"
+	"github.com/camphorbank/camphorbank/internal/upstream"
+	"github.com/camphorbank/camphorbank/platform"
+)
+
+var errNoPlatform = errors.New("camphorbankd: -platform needs the variable " + platform.SettingsVariable)
+
+// storeConns is the number of idle connections to the platform's store that are kept: one watch and one read.
+const storeConns = 2
+
+// runOnPlatform runs the process with the settings that the platform wrote for its VM.
+func runOnPlatform() error {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return errNoPlatform
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	lines := logline.New(os.Stdout)
+	defer lines.Close()
+	log.SetHandler(lines)
+	transport := &http.Transport{DialContext: upstream.Dialer().DialContext, MaxIdleConnsPerHost: storeConns, DisableCompression: true}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return node.Run(ctx, s, node.Adapters{
+		Dialect: platform.Dialect{}, Source: platform.NewStore(s.Store, transport), Ready: platform.ReadyHandler,
+	})
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/camphorbank/camphorbank/internal/adapter/peer"
+	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/fleet"
+	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/retry"
+	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/internal/targetset"
+	"github.com/camphorbank/camphorbank/internal/upstream"
+)
+
+const (
+	// readHeaderTimeout bounds the headers of callers before a configuration states a limit.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is above the time for which callers keep idle connections.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes is above the limits that configurations state.
+	maxHeaderBytes = 64 << 10
+	// sweepInterval is the time between two rounds of upkeep.
+	sweepInterval = 250 * time.Millisecond
+	// leaveRotation is the time in which the platform stops sending new connections to a process that is not ready: two
+	// questions, a second apart, and their answers.
+	leaveRotation = 2600 * time.Millisecond
+	// stopMargin is kept between the end of the last requests and the platform's kill.
+	stopMargin = 500 * time.Millisecond
+	// peerIdle keeps connections between entries open over a few missed exchanges.
+	peerIdle = 5 * time.Second
+)
+
+// entry is a process that takes callers' requests.
+type entry struct {
+	settings *Settings
+	adapters Adapters
+	tables   *routetable.Store
+	targets  *targetset.Set
+	balance  *balance.Balancer
+	retries  *retry.Fleet
+	pool     *upstream.Pool
+	peers    *peer.Pool
+	fleet    *fleet.Fleet
+	watcher  *listwatch.Watcher
+	stopping atomic.Bool
+	ready    atomic.Bool // last answer to the platform's question
+}
+
+func newEntry(s *Settings, a Adapters) *entry {
+	e := &entry{settings: s, adapters: a, tables: &routetable.Store{}, targets: targetset.New(), pool: upstream.NewPool(),
+		peers: &peer.Pool{Idle: peerIdle}}
+	e.balance = balance.New(s.DataCentre, time.Now)
+	e.retries = retry.NewFleet(retry.Allowance{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}, time.Now)
+	e.fleet = fleet.New(fleet.Options{
+		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano()},
+		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets,
+		InFlight: e.balance.InFlight, Report: e.balance.Report, Group: func(fleet.GroupState) {},
+		Stopping: e.stopping.Load, Notify: logFleet,
+	})
+	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logList}
+	return e
+}
+
+func (e *entry) run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", e.settings.Listen.Ready)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	control, err := net.Listen("tcp", e.settings.Listen.Control)
+	if err != nil {
+		return errors.Join(err, callers.Close(), ready.Close())
+	}
+	server := peer.NewServer()
+	e.fleet.Register(server)
+	work := e.callerServer()
+	group, failed := errgroup.WithContext(ctx)
+	group.Go(func() error { return ended(work.Serve(callers)) })
+	readiness := &http.Server{Handler: e.adapters.Ready(e.isReady), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = readiness.Serve(ready) }() // ends with the process
+	go func() { _ = server.Serve(background, control) }()
+	go e.watcher.Run(background)
+	go e.fleet.Run(background)
+	go e.upkeep(background)
+	<-failed.Done()
+	if ctx.Err() != nil {
+		e.stop(background, work)
+	}
+	return group.Wait()
+}
+
+func ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (e *entry) callerServer() *http.Server {
+	return &http.Server{
+		Handler: &gateway.Gateway{
+			Dialect: e.adapters.Dialect, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
+			Pool: e.pool, Observe: logRequest, Closing: e.stopping.Load,
+		},
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog,
+	}
+}
+
+// isReady says whether the process takes new connections.
+func (e *entry) isReady() bool {
+	ready := !e.stopping.Load() && e.tables.Load() != nil && e.targets.Snapshot().Revision > 0
+	if e.ready.Swap(ready) != ready {
+		logReady(ready, e.tables.Version(), e.targets.Snapshot().Revision, e.stopping.Load())
+	}
+	return ready
+}
+
+// upkeep drops what is out of date.
+func (e *entry) upkeep(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			e.sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *entry) sweep(now time.Time) {
+	e.targets.Expire(now)
+	list := e.targets.Snapshot()
+	addrs := make(map[string]bool, len(list.ByID))
+	for _, t := range list.ByID {
+		addrs[t.Addr] = true
+	}
+	e.pool.Sweep(now, func(addr string) bool { return addrs[addr] })
+	e.balance.Sweep(list.ByID)
+	_, known := e.fleet.Live()
+	e.retries.SetProcesses(known)
+}
+
+// stop ends the service without cutting a request off. The process goes on taking requests until the platform has
+// noticed that it is not ready.
+func (e *entry) stop(ctx context.Context, work *http.Server) {
+	e.stopping.Store(true)
+	logStop(e.balance.InFlight())
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Bounds.Grace-stopMargin)
+	defer cancel()
+	time.Sleep(min(leaveRotation, e.settings.Bounds.Grace/2))
+	if err := work.Shutdown(ctx); err != nil {
+		logCutOff(err, e.balance.InFlight())
+		_ = work.Close()
+	}
+	e.pool.Close()
+	e.peers.Close()
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/version"
+)
+
+// Adapters speak with the platform.
+type Adapters struct {
+	Dialect gateway.Dialect
+	Source  listwatch.Source // of targets and configuration; nil where the process reads none
+	// Ready returns the handler of the platform's question whether the process takes new connections.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Run serves the role of the settings until ctx ends, then stops gracefully.
+func Run(ctx context.Context, s *Settings, a Adapters) error {
+	log.WithFields(log.Fields{
+		"version": version.Version, "node": s.Name, "role": s.Role, "data_centre": s.DataCentre, "callers": s.Listen.Callers,
+		"control": s.Listen.Control, "engine": s.LocalEngine, "first_start": s.FirstStart,
+	}).Info("starting")
+	started := time.Now()
+	err := newEntry(s, a).run(ctx)
+	log.WithFields(log.Fields{"node": s.Name, "ran": time.Since(started), "error": errorText(err)}).Info("stopped")
+	return err
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "none"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/routetable/table.go
@@ -0,0 +1,84 @@
+package routetable
+
+import (
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is a compiled revision. It is immutable.
+type Table struct {
+	Config   Config
+	hosts    map[string][]*Route // longest prefix first
+	accounts map[string]*Account // by key
+	services map[string]*Service
+}
+
+// Compile prepares a revision for matching.
+func Compile(c Config) *Table {
+	t := &Table{Config: c, hosts: map[string][]*Route{}, accounts: map[string]*Account{}, services: map[string]*Service{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			t.accounts[key] = &c.Accounts[i]
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the client account that holds the key.
+func (t *Table) Account(key string) (*Account, bool) {
+	a, ok := t.accounts[key]
+	return a, ok
+}
+
+// NeedsKey says whether a request on the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Accounts) > 0 && !r.Public }
+
+// Service returns a service of the revision, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// PickService draws the service of one request by the weights of the route's backends.
+func (r *Route) PickService() string {
+	if len(r.Backends) == 1 {
+		return r.Backends[0].Service
+	}
+	total := 0.0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	x := rand.Float64() * total
+	for _, b := range r.Backends {
+		if x -= b.Weight; x < 0 {
+			return b.Service
+		}
+	}
+	if n := len(r.Backends); n > 0 {
+		return r.Backends[n-1].Service
+	}
+	return ""
+}
