Keep the expert maps of engine groups even on the platform

Each side VM now runs a process that reads its engine and gives it orders; the one beside the lowest rank plans small changes and switches all ranks at one pass under a hold. A confirmed change is now left alone until its pass has begun, and partly armed ranks are only disarmed while the group is held.

--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -13,6 +13,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/logline"
 	"github.com/camphorbank/camphorbank/internal/node"
+	"github.com/camphorbank/camphorbank/internal/rankgroup"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 	"github.com/camphorbank/camphorbank/platform"
 )
@@ -40,5 +41,6 @@
 	defer stop()
 	return node.Run(ctx, s, node.Adapters{
 		Dialect: platform.Dialect{}, Source: platform.NewStore(s.Store, transport), Ready: platform.ReadyHandler,
+		Engine: func(addr string) rankgroup.Engine { return platform.NewEngine(addr, transport) },
 	})
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -70,16 +72,21 @@
 
 // GroupState is what the coordinator of a group tells the entries.
 type GroupState struct {
-	Group     string    `json:"g"`
-	Term      int64     `json:"t"` // of the coordinator; higher terms replace lower ones
-	Seq       int64     `json:"q"` // increases within a term
-	Epoch     int64     `json:"e"`
-	Open      bool      `json:"o"`
-	Imbalance float64   `json:"i"` // work of the most loaded rank against the mean, averaged over the layers
-	Pace      float64   `json:"p"` // of the slowest rank; above 1 if it is slow
-	PassMS    float64   `json:"ms"`
-	Engines   []string  `json:"a"` // addresses by rank
-	Active    []int     `json:"n"` // requests in the batch by rank
-	Queued    []int     `json:"w"` // requests that wait at the engine by rank
-	Memory    []float64 `json:"k"` // used part of the KV cache by rank
+	Group     string        `json:"g"`
+	Term      int64         `json:"t"` // of the coordinator; higher terms replace lower ones
+	Seq       int64         `json:"q"` // increases within a term
+	Epoch     int64         `json:"e"`
+	Open      bool          `json:"o"`
+	Imbalance float64       `json:"i"` // work of the most loaded rank against the mean, averaged over the layers; 0 if unknown
+	Pass      time.Duration `json:"p"` // time of one pass, as seen lately; 0 if unknown
+	Ranks     []RankState   `json:"r"`
+}
+
+// RankState is the state of one rank's engine.
+type RankState struct {
+	Engine string  `json:"e"` // address; empty while it is unknown
+	Active int     `json:"a"` // requests in the batch
+	Queued int     `json:"q"` // requests that wait at the engine
+	Memory int     `json:"m"` // tokens of the KV cache in use
+	Pace   float64 `json:"p"` // above 1 if the engine is slow
 }
--- /dev/null
+++ b/internal/fleet/rankclient.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/camphorbank/camphorbank/internal/adapter/peer"
+)
+
+// RankClient speaks with the entries on behalf of a process beside a rank. It is safe for concurrent use.
+type RankClient struct {
+	Seeds []string
+	Pool  *peer.Pool
+
+	mu      sync.Mutex
+	entries []string // control addresses, the one that answered last first
+	telling map[string]bool
+}
+
+// Register reports the rank to one entry and returns the other ranks of its group.
+func (c *RankClient) Register(ctx context.Context, self Rank) (RankReply, error) {
+	var err error
+	for _, addr := range c.candidates() {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		var reply RankReply
+		err = c.Pool.Call(call, addr, methodRank, self, &reply)
+		cancel()
+		if err == nil {
+			c.learn(addr, reply.Entries)
+			return reply, nil
+		}
+	}
+	return RankReply{}, err
+}
+
+// candidates returns the entries to try, the one that answered last first, then the seeds.
+func (c *RankClient) candidates() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := append([]string(nil), c.entries...)
+	for _, s := range c.Seeds {
+		if !contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *RankClient) learn(first string, entries []Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = []string{first}
+	for _, e := range entries {
+		if e.Control != first {
+			c.entries = append(c.entries, e.Control)
+		}
+	}
+}
+
+// Tell sends the state of a group to all known entries. An entry that has not answered the state before is left out.
+func (c *RankClient) Tell(ctx context.Context, s GroupState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.telling == nil {
+		c.telling = map[string]bool{}
+	}
+	for _, addr := range c.entries {
+		if c.telling[addr] {
+			continue
+		}
+		c.telling[addr] = true
+		go c.tell(ctx, addr, s)
+	}
+}
+
+func (c *RankClient) tell(ctx context.Context, addr string, s GroupState) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_ = c.Pool.Call(ctx, addr, methodGroup, s, nil) // the next state replaces one that is lost
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.telling, addr)
+}
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	stdlog "log"
+	"strconv"
 	"strings"
 
 	"github.com/apex/log"
@@ -10,6 +11,7 @@
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/rankgroup"
 )
 
 // serverLog drops the library's lines about broken connections of callers: each request has a line of its own.
@@ -94,3 +96,21 @@
 	}
 	return n
 }
+
+// logGroup writes the decisions about one group.
+func logGroup(group string) func(rankgroup.Event) {
+	return func(e rankgroup.Event) {
+		f := log.Fields{"group": group, "event": e.Kind, "epoch": e.Epoch}
+		if e.Version > 0 {
+			f["map"], f["loads"], f["took"] = e.Version, e.Loads, e.Took
+			f["before"], f["after"] = strconv.FormatFloat(e.Before, 'f', 3, 64), strconv.FormatFloat(e.After, 'f', 3, 64)
+		}
+		if e.Step > 0 {
+			f["step"] = e.Step
+		}
+		if e.Err != nil {
+			f["error"] = e.Err.Error()
+		}
+		log.WithFields(f).Info("group")
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/rankgroup"
 	"github.com/camphorbank/camphorbank/internal/version"
 )
 
@@ -18,6 +19,8 @@
 	Source  listwatch.Source // of targets and configuration; nil where the process reads none
 	// Ready returns the handler of the platform's question whether the process takes new connections.
 	Ready func(ready func() bool) http.Handler
+	// Engine returns a client of the engine at an address.
+	Engine func(addr string) rankgroup.Engine
 }
 
 // Run serves the role of the settings until ctx ends, then stops gracefully.
@@ -27,7 +30,12 @@
 		"control": s.Listen.Control, "engine": s.LocalEngine, "first_start": s.FirstStart,
 	}).Info("starting")
 	started := time.Now()
-	err := newEntry(s, a).run(ctx)
+	var err error
+	if s.Role == RoleEntry {
+		err = newEntry(s, a).run(ctx)
+	} else {
+		err = newRank(s, a).run(ctx)
+	}
 	log.WithFields(log.Fields{"node": s.Name, "ran": time.Since(started), "error": errorText(err)}).Info("stopped")
 	return err
 }
