Let requests wait for a place, and predict the pace of their group

Cause: at the crest most streams were late by a pause over the aim, and refused callers came back into the same crest and were lost. Places are now counted over the group, whose ranks step together; a request waits while a place is likely to come free within its objective; refused callers come back late and spread, and go before others then.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,17 +31,32 @@
 
 // Job describes the request that needs a target.
 type Job struct {
-	Service      *routetable.Service
+	Name         string              // of the service
+	Service      *routetable.Service // nil if the configuration does not describe it
+	EventGap     time.Duration       // longest pause between events that is on time; 0 if unstated
+	MaxWait      time.Duration       // for a place
+	Left         time.Duration       // until the caller gives up
+	Returning    bool                // the caller has been refused before, and is lost if it is refused again
+	Priority     int                 // 0 is the most urgent
 	PromptTokens int
 	Exclude      map[targetset.Incarnation]bool // that have failed this request
+	Targets      func() []*targetset.Target     // of the service
+}
+
+// engine returns the figures of the service's engines, or nil for a plain service.
+func (j *Job) engine() *routetable.Engine {
+	if j.Service == nil {
+		return nil
+	}
+	return j.Service.Engine
 }
 
 // Lease is a place at a target. Done must be called once.
 type Lease struct {
-	Target *targetset.Target
-	b      *Balancer
-	s      *state
-	job    Job
+	Target  *targetset.Target
+	b       *Balancer
+	s       *state
+	service string
 }
 
 // Result is how a request ended at its target.
@@ -65,6 +80,9 @@
 	states  map[targetset.Incarnation]*state
 	peers   map[string]map[string]int // requests in flight by process and target id
 	reports map[string]time.Time
+	groups  map[string]*group
+	engines map[string]*group // by the address of a rank's engine
+	queues  map[string]*queue // by service
 }
 
 type state struct {
@@ -75,66 +93,85 @@
 // New returns a balancer for a process in the data centre.
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{Local: dataCentre, now: now, states: map[targetset.Incarnation]*state{}, peers: map[string]map[string]int{},
-		reports: map[string]time.Time{}}
+		reports: map[string]time.Time{}, groups: map[string]*group{}, engines: map[string]*group{}, queues: map[string]*queue{}}
 }
 
 const (
-	// engineLimit bounds the requests of one engine: more make the passes longer than the pause that callers accept.
-	engineLimit = 9
 	// queueShare is the part of a plain target's slots that may wait at the target besides those that run.
 	queueShare = 1.0
-	// fullWait is the time after which a caller that found all targets full may come back.
-	fullWait = time.Second
+	// fullWait is the latest time at which a caller that found all targets full is told to come back.
+	fullWait = 2600 * time.Millisecond
 	// peerAge is the age at which a peer's report of its requests in flight is dropped.
 	peerAge = 2 * time.Second
+	// farPenalty is the time by which a target in another data centre is taken for slower.
+	farPenalty = 2 * time.Millisecond
+	// spread is the part of the score that is drawn at random, so that entries with the same view choose differently.
+	spread = 0.05
 )
 
-// Acquire takes a place for a job at one of the targets.
-func (b *Balancer) Acquire(targets []*targetset.Target, job Job) (*Lease, *Refusal) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// pick takes a place for a job at one of the targets, or returns why there is none. The caller holds the lock.
+func (b *Balancer) pick(job *Job) (*Lease, Reason) {
 	now := b.now()
+	targets := job.Targets()
+	groups := b.loads(targets, now)
 	var best *targetset.Target
-	var bestState *state
 	bestScore := math.Inf(1)
-	healthy := false
+	reason := ReasonNoTargets
 	for _, t := range targets {
-		if job.Exclude[t.Incarnation()] {
-			continue
-		}
-		s := b.state(t)
-		if !s.health.usable(now) {
+		if job.Exclude[t.Incarnation()] || !b.state(t).health.usable(now) {
 			continue
 		}
-		healthy = true
-		n := s.own + b.fromPeers(t.ID, now)
-		if n >= limit(t, job) {
+		g := b.groupOf(t, now)
+		if g != nil && !g.report.Open {
 			continue
 		}
-		score := float64(n) + rand.Float64()*0.5
-		if t.DataCentre != b.Local {
-			score += 0.25
-		}
-		if score < bestScore {
-			best, bestState, bestScore = t, s, score
+		reason = ReasonFull
+		score, ok := b.score(t, job, g, groups[g], now)
+		if ok && score < bestScore {
+			best, bestScore = t, score
 		}
 	}
 	if best == nil {
-		if !healthy {
-			return nil, &Refusal{ReasonNoTargets, fullWait}
+		return nil, reason
+	}
+	s := b.state(best)
+	s.own++
+	s.health.dispatched()
+	return &Lease{Target: best, b: b, s: s, service: job.Name}, ""
+}
+
+// score predicts how slow a target is with one more request, in seconds. ok is false if it has no place.
+func (b *Balancer) score(t *targetset.Target, job *Job, g *group, l *load, now time.Time) (float64, bool) {
+	n := b.inFlight(t, now)
+	far := time.Duration(0)
+	if t.DataCentre != b.Local {
+		far = farPenalty
+	}
+	e := job.engine()
+	if e == nil {
+		if n >= t.Slots+int(queueShare*float64(t.Slots)) {
+			return 0, false
 		}
-		return nil, &Refusal{ReasonFull, fullWait}
+		return float64(n) + far.Seconds()*1000*spread + rand.Float64()*spread, true
+	}
+	mean := float64(l.requests+1) / float64(l.ranks)
+	pace := g.slowest()
+	if n >= t.Slots || !job.Returning && passTime(e, n+1, mean, assumedImbalance, pace) > gapOf(job) {
+		return 0, false
+	}
+	imbalance := 1.0
+	if g != nil && g.report.Imbalance > 0 {
+		imbalance = g.report.Imbalance
 	}
-	bestState.own++
-	bestState.health.dispatched()
-	return &Lease{Target: best, b: b, s: bestState, job: job}, nil
+	pass := passTime(e, n+1, mean, imbalance, pace)
+	return (pass + far).Seconds() * (1 + rand.Float64()*spread), true
 }
 
-func limit(t *targetset.Target, job Job) int {
-	if job.Service != nil && job.Service.Engine != nil {
-		return min(engineLimit, t.Slots)
+func gapOf(job *Job) time.Duration {
+	if job.EventGap > 0 {
+		return job.EventGap
 	}
-	return t.Slots + int(queueShare*float64(t.Slots))
+	return defaultEventGap
 }
 
 func (b *Balancer) state(t *targetset.Target) *state {
@@ -146,11 +183,12 @@
 	return s
 }
 
-func (b *Balancer) fromPeers(id string, now time.Time) int {
-	n := 0
+// inFlight returns the requests in flight at a target, from all processes.
+func (b *Balancer) inFlight(t *targetset.Target, now time.Time) int {
+	n := b.state(t).own
 	for name, counts := range b.peers {
 		if now.Sub(b.reports[name]) < peerAge {
-			n += counts[id]
+			n += counts[t.ID]
 		}
 	}
 	return n
@@ -161,7 +199,10 @@
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	l.s.own--
-	l.s.health.done(r, l.b.now())
+	now := l.b.now()
+	l.s.health.done(r, now)
+	l.b.queue(l.service).freed(now)
+	l.b.dispatch()
 }
 
 // InFlight returns the requests in flight from this process by target id.
@@ -183,6 +224,7 @@
 	defer b.mu.Unlock()
 	b.peers[process] = counts
 	b.reports[process] = b.now()
+	b.dispatch()
 }
 
 // Sweep forgets the state of targets that are no longer listed.
--- /dev/null
+++ b/internal/balance/group.go
@@ -0,0 +1,114 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
+
+// GroupReport is the state of an engine group, as its coordinator tells it.
+type GroupReport struct {
+	Name      string
+	Term, Seq int64 // a report replaces those with a lower term, or a lower number in the same term
+	Open      bool
+	Imbalance float64 // work of the most loaded rank against the mean; 0 if unknown
+	Ranks     []RankReport
+}
+
+// RankReport is the state of one rank.
+type RankReport struct {
+	Engine string  // address; empty while it is unknown
+	Pace   float64 // above 1 if the engine is slow; 0 if unknown
+}
+
+// group is what is known of an engine group. All its ranks take part in each pass, so that the passes last as long as
+// the work of all ranks together demands.
+type group struct {
+	report GroupReport
+	at     time.Time
+}
+
+const (
+	// groupAge is the age from which a group's report says nothing about its present state.
+	groupAge = 1500 * time.Millisecond
+	// assumedImbalance is the imbalance for which places are kept free. The popularity of experts shifts every few
+	// seconds, and until the map follows, the rank with the most popular expert has three times the mean work.
+	assumedImbalance = 2.6
+	// readingShare is the part of a pass that is kept free for the reading of new prompts.
+	readingShare = 0.1
+	// defaultEventGap is the longest pass where a route states no pause.
+	defaultEventGap = 120 * time.Millisecond
+)
+
+// Group takes in a report.
+func (b *Balancer) Group(r GroupReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.groups[r.Name]
+	if g != nil && (r.Term < g.report.Term || r.Term == g.report.Term && r.Seq <= g.report.Seq) && b.now().Sub(g.at) < groupAge {
+		return
+	}
+	g = &group{report: r, at: b.now()}
+	b.groups[r.Name] = g
+	for _, rank := range r.Ranks {
+		if rank.Engine != "" {
+			b.engines[rank.Engine] = g
+		}
+	}
+	b.dispatch()
+}
+
+// groupOf returns the group of a target, or nil if it is unknown or its report is old.
+func (b *Balancer) groupOf(t *targetset.Target, now time.Time) *group {
+	g := b.engines[t.Addr]
+	if g == nil || now.Sub(g.at) > groupAge {
+		return nil
+	}
+	return g
+}
+
+// load is the requests in flight at the ranks of a group.
+type load struct {
+	requests int
+	ranks    int
+}
+
+// loads adds up the requests in flight by group, with nil for targets of unknown group.
+func (b *Balancer) loads(targets []*targetset.Target, now time.Time) map[*group]*load {
+	out := map[*group]*load{}
+	for _, t := range targets {
+		g := b.groupOf(t, now)
+		l := out[g]
+		if l == nil {
+			l = &load{}
+			out[g] = l
+		}
+		l.requests += b.inFlight(t, now)
+		l.ranks++
+	}
+	return out
+}
+
+// passTime predicts the time of a pass of an engine with n requests in a group whose ranks have mean requests.
+func passTime(e *routetable.Engine, n int, mean, imbalance, pace float64) time.Duration {
+	one := func(requests float64) float64 {
+		return float64(e.Stride) * (float64(e.StepTime) + float64(e.PerRequest)*requests)
+	}
+	share := e.Experts.Share
+	own := (1 - share) * one(float64(n))
+	joint := share * imbalance * one(mean)
+	return time.Duration((own + joint) * max(1, pace) / (1 - readingShare))
+}
+
+// slowest returns the pace of the slowest rank, which the whole group waits for.
+func (g *group) slowest() float64 {
+	pace := 1.0
+	if g == nil {
+		return pace
+	}
+	for _, r := range g.report.Ranks {
+		pace = max(pace, r.Pace)
+	}
+	return pace
+}
--- /dev/null
+++ b/internal/balance/queue.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// rateAge is the time over which the rate of places that come free is averaged.
+	rateAge = 500 * time.Millisecond
+	// returnSpread is the part of the time until a refused caller may come back that is drawn at random, so that callers
+	// refused together do not come back together.
+	returnSpread = 0.4
+	// honouredShare is the part of its remaining time for which a caller honours the time to come back, less a margin
+	// for the way.
+	honouredShare = 0.32
+)
+
+// queue holds the requests of one service that wait for a place in this process, the most urgent first and those of one
+// urgency in the order of their arrival.
+type queue struct {
+	waiting []*waiter
+	rate    float64 // places that come free in a second
+	last    time.Time
+}
+
+type waiter struct {
+	job   *Job
+	lease chan *Lease // receives the place
+}
+
+func (b *Balancer) queue(service string) *queue {
+	q := b.queues[service]
+	if q == nil {
+		q = &queue{}
+		b.queues[service] = q
+	}
+	return q
+}
+
+// freed counts a place that came free.
+func (q *queue) freed(now time.Time) {
+	q.decay(now)
+	q.rate += 1 / rateAge.Seconds()
+}
+
+func (q *queue) decay(now time.Time) {
+	if !q.last.IsZero() {
+		q.rate *= max(0, 1-now.Sub(q.last).Seconds()/rateAge.Seconds())
+	}
+	q.last = now
+}
+
+// wait predicts the time until a request with n others before it gets a place.
+func (q *queue) wait(n int, now time.Time) time.Duration {
+	q.decay(now)
+	if q.rate <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(n+1) / q.rate * float64(time.Second))
+}
+
+// Acquire takes a place for a job at one of its targets. It waits for one if it is likely to come free in time, and
+// refuses at once otherwise.
+func (b *Balancer) Acquire(ctx context.Context, job *Job) (*Lease, *Refusal) {
+	b.mu.Lock()
+	q := b.queue(job.Name)
+	reason := ReasonFull
+	if q.before(job) == 0 {
+		var lease *Lease
+		if lease, reason = b.pick(job); lease != nil {
+			b.mu.Unlock()
+			return lease, nil
+		}
+	}
+	wait := q.wait(q.before(job), b.now())
+	if reason != ReasonFull || wait > job.MaxWait {
+		b.mu.Unlock()
+		return nil, &Refusal{reason, comeBack(job)}
+	}
+	w := &waiter{job: job, lease: make(chan *Lease, 1)}
+	q.add(w)
+	b.mu.Unlock()
+	return b.await(ctx, q, w)
+}
+
+// comeBack returns when a refused caller may come back. A demand swing lasts longer than callers honour the time, so they
+// return as late as they accept, spread over the time before it.
+func comeBack(job *Job) time.Duration {
+	latest := min(fullWait, time.Duration(honouredShare*float64(job.Left)))
+	return time.Duration(float64(latest) * (1 - returnSpread*rand.Float64()))
+}
+
+// before returns the number of requests that are served before a job.
+func (q *queue) before(job *Job) int {
+	n := 0
+	for _, w := range q.waiting {
+		if !w.job.after(job) {
+			n++
+		}
+	}
+	return n
+}
+
+// after says whether a job waits behind another one that arrives later.
+func (j *Job) after(other *Job) bool {
+	if j.Priority != other.Priority {
+		return j.Priority > other.Priority
+	}
+	return other.Returning && !j.Returning
+}
+
+func (q *queue) add(w *waiter) {
+	q.waiting = slices.Insert(q.waiting, q.before(w.job), w)
+}
+
+// await waits for a place.
+func (b *Balancer) await(ctx context.Context, q *queue, w *waiter) (*Lease, *Refusal) {
+	timer := time.NewTimer(w.job.MaxWait)
+	defer timer.Stop()
+	select {
+	case l := <-w.lease:
+		return l, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(q.waiting, w); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+	select {
+	case l := <-w.lease: // the place came at the same time
+		return l, nil
+	default:
+		return nil, &Refusal{ReasonFull, comeBack(w.job)}
+	}
+}
+
+// dispatch gives free places to waiting requests. The caller holds the lock.
+func (b *Balancer) dispatch() {
+	for _, q := range b.queues {
+		for len(q.waiting) > 0 {
+			lease, _ := b.pick(q.waiting[0].job)
+			if lease == nil {
+				break
+			}
+			q.waiting[0].lease <- lease
+			q.waiting = q.waiting[1:]
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/targetset"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -22,10 +23,12 @@
 func (x *exchange) attempt() bool {
 	list := x.g.Targets.Snapshot()
 	x.record.ListRevision = list.Revision
-	lease, refusal := x.g.Balance.Acquire(list.ByService[x.service], balance.Job{
-		Service: x.table.Service(x.service), PromptTokens: x.call.PromptTokens, Exclude: x.exclude,
-	})
+	lease, refusal := x.g.Balance.Acquire(x.ctx, x.job())
 	if refusal != nil {
+		if x.r.Context().Err() != nil {
+			x.record.end(OutcomeLeft, "")
+			return false
+		}
 		x.giveUp(Reason(refusal.Reason), refusal.RetryAfter)
 		return false
 	}
@@ -42,6 +45,29 @@
 	return x.again(result)
 }
 
+// waitShare is the part of the latency objective for which a request may wait for a place: the rest is needed for the
+// answer itself.
+const waitShare = 0.45
+
+// returningShare is the part of the route's time below which a caller's remaining time shows that it was refused before.
+const returningShare = 0.9
+
+// returning says whether the caller has made an attempt before. Each attempt states the time that is left.
+func (x *exchange) returning() bool {
+	return x.call.Wait > 0 && x.call.Wait < time.Duration(returningShare*float64(x.route.Timeout))
+}
+
+// job describes the request to the balancer.
+func (x *exchange) job() *balance.Job {
+	return &balance.Job{
+		Name: x.service, Service: x.table.Service(x.service), EventGap: x.route.EventGap, Priority: x.priority(),
+		Left: time.Until(x.expires), Returning: x.returning(),
+		MaxWait:      min(time.Duration(waitShare*float64(x.route.Objective)), time.Until(x.expires)),
+		PromptTokens: x.call.PromptTokens, Exclude: x.exclude,
+		Targets: func() []*targetset.Target { return x.g.Targets.Snapshot().ByService[x.service] },
+	}
+}
+
 // result is how an attempt ended.
 type result struct {
 	name   string
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -63,13 +63,22 @@
 	e.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano()},
 		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets,
-		InFlight: e.balance.InFlight, Report: e.balance.Report, Group: func(fleet.GroupState) {},
+		InFlight: e.balance.InFlight, Report: e.balance.Report, Group: e.group,
 		Stopping: e.stopping.Load, Notify: logFleet,
 	})
 	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logList}
 	return e
 }
 
+// group hands the state of an engine group to the balancer.
+func (e *entry) group(s fleet.GroupState) {
+	out := balance.GroupReport{Name: s.Group, Term: s.Term, Seq: s.Seq, Open: s.Open, Imbalance: s.Imbalance}
+	for _, r := range s.Ranks {
+		out.Ranks = append(out.Ranks, balance.RankReport{Engine: r.Engine, Pace: r.Pace})
+	}
+	e.balance.Group(out)
+}
+
 func (e *entry) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
