Follow a shift of the experts' popularity at once

Cause: the estimate mixed choices from before and after a shift, and the group was read every 120 ms. A reading that has less than 0.72 in common with the estimate now replaces it, and readings and the lead of a switch are shorter.

--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -20,6 +20,8 @@
 	registerInterval = time.Second
 	// registerPause is the time until the next try after a report that failed.
 	registerPause = 300 * time.Millisecond
+	// tellInterval is the time between two reports of a group to the entries.
+	tellInterval = 150 * time.Millisecond
 	// takeoverAge is the time without a reading by a lower rank after which a rank coordinates its group. Each rank
 	// waits takeoverStep longer than the one below it.
 	takeoverAge  = 1200 * time.Millisecond
@@ -42,6 +44,7 @@
 	direct map[string]*rankgroup.Agent // agents for engines whose own process does not answer, by address
 	model  *routetable.Engine
 	seq    int64
+	told   time.Time // last report of the group to the entries
 }
 
 func newRank(s *Settings, a Adapters) *rank {
@@ -166,6 +169,12 @@
 // tell sends the state of the group to the entries.
 func (r *rank) tell(ctx context.Context, self fleet.Rank, s rankgroup.Report) {
 	r.mu.Lock()
+	if now := time.Now(); now.Sub(r.told) < tellInterval {
+		r.mu.Unlock()
+		return
+	} else {
+		r.told = now
+	}
 	r.seq++
 	out := fleet.GroupState{Group: self.Group, Term: s.Term, Seq: r.seq, Open: true, Imbalance: s.Imbalance, Pass: s.Pass}
 	for i, rank := range s.Status {
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -55,9 +55,9 @@
 
 const (
 	// idlePause is the time between two readings of the group while no map is loaded.
-	idlePause = 120 * time.Millisecond
+	idlePause = 60 * time.Millisecond
 	// loadPause is the time between two readings while a map is loaded.
-	loadPause = 50 * time.Millisecond
+	loadPause = 20 * time.Millisecond
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 250 * time.Millisecond
 )
@@ -183,6 +183,15 @@
 	if c.pop != nil {
 		c.pop.age(now)
 	}
+	c.count(replies)
+	if s := c.status[c.opt.Rank]; c.answered[c.opt.Rank] {
+		c.pace.see(s.Step, s.Epoch, s.Active > 0, now)
+	}
+}
+
+// count takes in what was chosen since the last reading.
+func (c *Coordinator) count(replies []ReadReply) {
+	var sum []float64
 	for rank, r := range replies {
 		if !c.answered[rank] {
 			continue
@@ -191,12 +200,20 @@
 		if c.pop == nil || len(r.Since) == 0 {
 			continue
 		}
-		if chosen, err := decodeCounts(r.Since, len(c.pop.recent)); err == nil {
-			c.pop.add(chosen)
+		chosen, err := decodeCounts(r.Since, len(c.pop.recent))
+		if err != nil {
+			c.opt.Notify(Event{Kind: "counts-malformed", Epoch: c.epoch, Rank: rank, Err: err})
+			continue
+		}
+		if sum == nil {
+			sum = make([]float64, len(chosen))
+		}
+		for i, n := range chosen {
+			sum[i] += n
 		}
 	}
-	if s := c.status[c.opt.Rank]; c.answered[c.opt.Rank] {
-		c.pace.see(s.Step, s.Epoch, s.Active > 0, now)
+	if sum != nil && c.pop.add(sum) {
+		c.opt.Notify(Event{Kind: "popularity-shifted", Epoch: c.epoch})
 	}
 }
 
--- a/internal/rankgroup/estimate.go
+++ b/internal/rankgroup/estimate.go
@@ -33,30 +33,71 @@
 	p.at = now
 }
 
-// add takes in the choices of one rank's requests since its last report.
-func (p *popularity) add(chosen []float64) {
+// add takes in the choices of all ranks' requests since the last reading. If they differ much from the estimate, the
+// popularity has shifted, and what was known before says nothing any more. It says whether that was so.
+func (p *popularity) add(chosen []float64) (shifted bool) {
+	if p.differs(chosen) {
+		clear(p.recent)
+		shifted = true
+	}
 	for i, n := range chosen {
 		p.recent[i] += n
 	}
+	return shifted
 }
 
-// minChoices is the weight of choices in a layer below which its popularity says nothing.
-const minChoices = 200
+const (
+	// minChoices is the number of choices in a layer below which its popularity says nothing.
+	minChoices = 200
+	// minOverlap is the common part of two distributions below which they count as different. Readings of unchanged
+	// popularity have more than four fifths in common.
+	minOverlap = 0.72
+)
+
+// differs says whether new choices contradict the estimate.
+func (p *popularity) differs(chosen []float64) bool {
+	sum, layers := 0.0, 0
+	for l := range p.shape.Layers {
+		from, to := l*p.shape.Experts, (l+1)*p.shape.Experts
+		if common, ok := overlap(p.recent[from:to], chosen[from:to]); ok {
+			sum += common
+			layers++
+		}
+	}
+	return layers > 0 && sum/float64(layers) < minOverlap
+}
+
+// overlap returns the common part of two distributions, from 0 to 1. ok is false if one of them has too few choices.
+func overlap(a, b []float64) (common float64, ok bool) {
+	totalA, totalB := total(a), total(b)
+	if totalA < minChoices || totalB < minChoices {
+		return 0, false
+	}
+	for i := range a {
+		common += min(a[i]/totalA, b[i]/totalB)
+	}
+	return common, true
+}
+
+func total(list []float64) float64 {
+	sum := 0.0
+	for _, n := range list {
+		sum += n
+	}
+	return sum
+}
 
 // loads returns the share of each expert in its layer's work. ok is false if too few choices are known.
 func (p *popularity) loads() (loads [][]float64, ok bool) {
 	for l := range p.shape.Layers {
 		row := p.recent[l*p.shape.Experts : (l+1)*p.shape.Experts]
-		total := 0.0
-		for _, n := range row {
-			total += n
-		}
-		if total < minChoices {
+		all := total(row)
+		if all < minChoices {
 			return nil, false
 		}
 		out := make([]float64, len(row))
 		for e, n := range row {
-			out[e] = n / total
+			out[e] = n / all
 		}
 		loads = append(loads, out)
 	}
--- a/internal/rankgroup/port.go
+++ b/internal/rankgroup/port.go
@@ -15,24 +15,24 @@
 
 // Status is what an engine says of its rank.
 type Status struct {
-	Group       string
-	Epoch       int64 // of the group; increases when it forms anew
-	Rank        int
-	Size        int // ranks of the group
-	Open        bool
-	Born        int64  // start of the engine, Unix milliseconds
-	Step        int64  // last pass that was begun
-	Map         int64  // version in use
-	Prepared    int64  // version that is loaded beside it; 0 for none
-	Armed       int64  // version that is to come into use; 0 for none
-	Held        *int64 // pass before which the group waits for this rank; nil for none
-	Sequence    int64  // of orders that began something
-	Busy        bool   // an order is in progress
-	Active      int    // requests in the batch
-	Queued      int
-	MemoryUsed  int // tokens of the KV cache
-	MemoryTotal int
-	Pace        float64 // above 1 if the engine is slow
+	Group       string  `json:"g,omitempty"`
+	Epoch       int64   `json:"e,omitempty"` // of the group; increases when it forms anew
+	Rank        int     `json:"r,omitempty"`
+	Size        int     `json:"z,omitempty"` // ranks of the group
+	Open        bool    `json:"o,omitempty"`
+	Born        int64   `json:"b,omitempty"` // start of the engine, Unix milliseconds
+	Step        int64   `json:"s,omitempty"` // last pass that was begun
+	Map         int64   `json:"m,omitempty"` // version in use
+	Prepared    int64   `json:"p,omitempty"` // version that is loaded beside it; 0 for none
+	Armed       int64   `json:"a,omitempty"` // version that is to come into use; 0 for none
+	Held        *int64  `json:"h,omitempty"` // pass before which the group waits for this rank; nil for none
+	Sequence    int64   `json:"q,omitempty"` // of orders that began something
+	Busy        bool    `json:"y,omitempty"` // an order is in progress
+	Active      int     `json:"n,omitempty"` // requests in the batch
+	Queued      int     `json:"w,omitempty"`
+	MemoryUsed  int     `json:"u,omitempty"` // tokens of the KV cache
+	MemoryTotal int     `json:"t,omitempty"`
+	Pace        float64 `json:"x,omitempty"` // above 1 if the engine is slow
 }
 
 // Counts are how often the rank's requests chose each expert since the engine's start, layer by layer.
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -9,7 +9,7 @@
 
 const (
 	// lead is the number of passes between the reading of the present pass and the pass of the change.
-	lead = 3
+	lead = 2
 	// maxOrders is the number of orders to one rank in one term.
 	maxOrders = fenceSpan / FencesPerOrder
 	// fenceSpan is the range of fencing numbers of one term.
