Load one expert a rank for a change of the map, and only where it pays

Cause: the copying of weights is the delay of a change, and changes of little gain kept the ranks copying when popularity shifted.

--- a/internal/rankgroup/plan.go
+++ b/internal/rankgroup/plan.go
@@ -7,11 +7,14 @@
 
 const (
 	// newPerRank bounds the experts that a rank loads for one change, over all layers.
-	newPerRank = 2
+	newPerRank = 1
 	// minImbalance is the imbalance below which the map stays.
 	minImbalance = 1.08
 	// minLoadGain is the least drop of the sum of the layers' imbalance for which one expert is loaded.
-	minLoadGain = 0.02
+	minLoadGain = 0.04
+	// minRoundGain is the least drop of the imbalance for each expert that the busiest rank loads. Passes take 0.15 longer
+	// while an expert is loaded, for 0.15 s; the gain lasts until popularity shifts again, after some two seconds.
+	minRoundGain = 0.02
 )
 
 // plan is a change of the map.
@@ -33,7 +36,7 @@
 		Shape: shape, Loads: loads, Current: c.current, NewPerRank: newPerRank,
 		NewPerLayer: max(1, c.engine.Experts.NewPerLayer), MinGain: minLoadGain,
 	}.Make()
-	if next.Loads == 0 && next.Before-next.After < minLoadGain {
+	if next.Before-next.After < max(minLoadGain, minRoundGain*float64(next.Most)) {
 		return plan{}, false
 	}
 	return plan{next}, true
