--- a/cmd/camphorbankd/main.go
+++ b/cmd/camphorbankd/main.go
@@ -46,11 +46,12 @@
 	fs := flag.NewFlagSet("camphorbankd", flag.ExitOnError)
 	path := fs.String("config", "", "settings file (TOML)")
 	onPlatform := fs.Bool("platform", false, "take the settings that the platform wrote for this VM")
+	metricsPort := fs.Int("metrics-port", 0, "port on the VM's address that serves metrics on the platform; 0 for none")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("CAMPHORBANKD")); err != nil {
 		return err
 	}
 	if *onPlatform {
-		return runOnPlatform()
+		return runOnPlatform(*metricsPort)
 	}
 	if *path == "" {
 		return errUsage
--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/apex/log"
@@ -24,15 +26,24 @@
 const storeConns = 2
 
 // runOnPlatform runs the process with the settings that the platform wrote for its VM.
-func runOnPlatform() error {
+func runOnPlatform(metricsPort int) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errNoPlatform
 	}
-	s, err := platform.LoadSettings(path)
+	load := func() (*node.Settings, error) {
+		s, err := platform.LoadSettings(path)
+		if err == nil && metricsPort > 0 {
+			s.Listen.Metrics = net.JoinHostPort(s.IP, strconv.Itoa(metricsPort))
+		}
+		return s, err
+	}
+	s, err := load()
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
 	lines := logline.New(os.Stdout)
 	defer lines.Close()
 	log.SetHandler(lines)
@@ -41,6 +52,7 @@
 	defer stop()
 	return node.Run(ctx, s, node.Adapters{
 		Dialect: platform.Dialect{}, Source: platform.NewStore(s.Store, transport), Ready: platform.ReadyHandler,
+		Reload: &node.Reloader{Load: load, Signal: changed},
 		Engine: func(addr string) rankgroup.Engine { return platform.NewEngine(addr, transport) },
 	})
 }
--- a/design/design.go
+++ b/design/design.go
@@ -20,7 +20,7 @@
 	Description("States why a request was not completed and whether it may have run.")
 	ErrorName("name", String, "Name of the error", func() { Meta("struct:error:name") })
 	Attribute("outcome", String, "not-run or unknown", func() { Enum("not-run", "unknown") })
-	Attribute("reason", String, "Reason from the closed list in docs/operations.md")
+	Attribute("reason", String, "Reason from the closed list in docs/OPERATIONS.md")
 	Attribute("message", String, "Explanation for a person")
 	Attribute("request_id", String, "Request id made by the entry")
 	Attribute("retry_after_s", Int, "Seconds after which a retry makes sense; 0 or absent if none does")
--- a/gen/camphorbank/service.go
+++ b/gen/camphorbank/service.go
@@ -178,7 +178,7 @@
 	Name string
 	// not-run or unknown
 	Outcome string
-	// Reason from the closed list in docs/operations.md
+	// Reason from the closed list in docs/OPERATIONS.md
 	Reason string
 	// Explanation for a person
 	Message string
--- a/gen/http/camphorbank/client/types.go
+++ b/gen/http/camphorbank/client/types.go
@@ -142,7 +142,7 @@
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// not-run or unknown
 	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
-	// Reason from the closed list in docs/operations.md
+	// Reason from the closed list in docs/OPERATIONS.md
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 	// Explanation for a person
 	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
--- a/gen/http/camphorbank/server/types.go
+++ b/gen/http/camphorbank/server/types.go
@@ -144,7 +144,7 @@
 	Name string `form:"name" json:"name" xml:"name"`
 	// not-run or unknown
 	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
-	// Reason from the closed list in docs/operations.md
+	// Reason from the closed list in docs/OPERATIONS.md
 	Reason string `form:"reason" json:"reason" xml:"reason"`
 	// Explanation for a person
 	Message string `form:"message" json:"message" xml:"message"`
--- a/internal/alarm/alarm.go
+++ b/internal/alarm/alarm.go
@@ -12,7 +12,7 @@
 	"github.com/camphorbank/camphorbank/internal/port"
 )
 
-// Name names an alarm. docs/operations.md says what to do about each.
+// Name names an alarm. docs/OPERATIONS.md says what to do about each.
 type Name string
 
 // Alarms.
--- a/internal/alarm/alarm_test.go
+++ b/internal/alarm/alarm_test.go
@@ -79,13 +79,13 @@
 
 // TestAlarmsAreDocumented guards against an alarm that operators find nothing about.
 func TestAlarmsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range Names() {
 		if !strings.Contains(string(page), "| `"+string(name)+"` |") {
-			t.Errorf("docs/operations.md lacks the alarm %s", name)
+			t.Errorf("docs/OPERATIONS.md lacks the alarm %s", name)
 		}
 	}
 }
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -12,6 +12,7 @@
 	"github.com/camphorbank/camphorbank/internal/config"
 	"github.com/camphorbank/camphorbank/internal/finding"
 	"github.com/camphorbank/camphorbank/internal/settings"
+	"github.com/camphorbank/camphorbank/platform"
 )
 
 // Kinds of files that check knows.
@@ -19,11 +20,12 @@
 	kindAuto          = "auto"
 	kindSettings      = "settings"
 	kindConfiguration = "configuration"
+	kindPlatform      = "platform"
 )
 
 func (t *tool) checkCommand() *ffcli.Command {
 	fs := t.flags("camphorbank check")
-	kind := fs.String("kind", kindAuto, "settings, configuration, or auto: a file with a key named role is settings")
+	kind := fs.String("kind", kindAuto, "settings, configuration, platform (the settings file of a VM on the platform), or auto: a file with a key named role is settings")
 	asJSON := fs.Bool("json", false, "print the findings as JSON")
 	return &ffcli.Command{
 		Name: "check", ShortUsage: "camphorbank check [FLAGS] FILE...", FlagSet: fs, Options: options(),
@@ -70,8 +72,11 @@
 	case kindConfiguration:
 		_, err := config.Parse(path, body)
 		return err
+	case kindPlatform:
+		_, err := platform.ParseSettings(path, body)
+		return err
 	default:
-		return &usageError{fmt.Errorf("-kind: %q is not settings, configuration or auto", kind)}
+		return &usageError{fmt.Errorf("-kind: %q is not settings, configuration, platform or auto", kind)}
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,6 +92,13 @@
 	return &Fleet{opt: opt, entries: map[string]*entryState{}, ranks: map[string]*rankState{}, asked: map[string]time.Time{}}
 }
 
+// SetSeeds replaces the seeds.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.opt.Seeds = seeds
+}
+
 // Register adds the methods that entries serve.
 func (f *Fleet) Register(s *peer.Server) {
 	s.Handle(methodExchange, peer.Typed(f.serveExchange))
--- a/internal/fleet/rankclient.go
+++ b/internal/fleet/rankclient.go
@@ -17,6 +17,13 @@
 	telling map[string]bool
 }
 
+// SetSeeds replaces the seeds.
+func (c *RankClient) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Seeds = seeds
+}
+
 // Register reports the rank to one entry and returns the other ranks of its group.
 func (c *RankClient) Register(ctx context.Context, self Rank) (RankReply, error) {
 	var err error
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,23 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestHandlerServesHistogram guards against latency histograms that miscount at the bounds of their buckets.
+func TestHandlerServesHistogram(t *testing.T) {
+	h := &Histogram{name: "test", buckets: Duration.buckets}
+	for _, d := range []time.Duration{120 * time.Millisecond, 121 * time.Millisecond, time.Minute} {
+		h.Observe(d)
+	}
+	w := httptest.NewRecorder()
+	Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{"request_seconds{le=0.12} 1\n", "request_seconds{le=0.15} 2\n", "request_seconds{le=8} 2\n", "request_seconds{le=inf} 3\n"} {
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("metrics lack %q:\n%s", want, w.Body)
+		}
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
@@ -53,13 +54,17 @@
 	watcher  *listwatch.Watcher
 	stopping atomic.Bool
 	ready    atomic.Bool // last answer to the platform's question
+	records  *decision.Ring
+	shared   sharedSettings // those in force; settings are those of the start
+	gauged   time.Time      // last update of the gauges
 }
 
 func newEntry(s *Settings, a Adapters) *entry {
 	e := &entry{settings: s, adapters: a, tables: &routetable.Store{}, targets: targetset.New(), pool: upstream.NewPool(),
-		peers: &peer.Pool{Idle: peerIdle}}
+		peers: &peer.Pool{Idle: peerIdle}, records: decision.NewRing(keptRecords)}
+	e.shared.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
-	e.retries = retry.NewFleet(retry.Allowance{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}, time.Now)
+	e.retries = retry.NewFleet(allowance(s.Bounds), time.Now)
 	e.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano()},
 		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets,
@@ -105,6 +110,8 @@
 	go e.watcher.Run(background)
 	go e.fleet.Run(background)
 	go e.upkeep(background)
+	go e.adapters.Reload.run(background, e.settings, e.reload)
+	serveMetrics(background, e.settings.Listen.Metrics, e.records, e.settings.Name)
 	<-failed.Done()
 	if ctx.Err() != nil {
 		e.stop(background, work)
@@ -123,12 +130,18 @@
 	return &http.Server{
 		Handler: &gateway.Gateway{
 			Dialect: e.adapters.Dialect, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-			Pool: e.pool, Observe: logRequest, Closing: e.stopping.Load,
+			Pool: e.pool, Observe: e.observe, Closing: e.stopping.Load,
 		},
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog,
 	}
 }
 
+// observe records a request that has ended.
+func (e *entry) observe(r *gateway.Record) {
+	logRequest(r)
+	e.records.Add(explained(r))
+}
+
 // isReady says whether the process takes new connections.
 func (e *entry) isReady() bool {
 	ready := !e.stopping.Load() && e.tables.Load() != nil && e.targets.Snapshot().Revision > 0
@@ -138,6 +151,17 @@
 	return ready
 }
 
+// reload puts changed settings in force.
+func (e *entry) reload(s *Settings) {
+	e.shared.set(s)
+	e.fleet.SetSeeds(s.Seeds)
+	e.retries.SetAllowance(allowance(s.Bounds))
+}
+
+func allowance(b Bounds) retry.Allowance {
+	return retry.Allowance{Share: b.RetryShare, Slack: b.RetrySlack, Window: b.RetryWindow}
+}
+
 // upkeep drops what is out of date.
 func (e *entry) upkeep(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
@@ -163,6 +187,10 @@
 	e.balance.Sweep(list.ByID)
 	_, known := e.fleet.Live()
 	e.retries.SetProcesses(known)
+	if now.Sub(e.gauged) >= gaugeInterval {
+		e.gauged = now
+		e.setGauges()
+	}
 }
 
 // stop ends the service without cutting a request off. The process goes on taking requests until the platform has
@@ -170,9 +198,9 @@
 func (e *entry) stop(ctx context.Context, work *http.Server) {
 	e.stopping.Store(true)
 	logStop(e.balance.InFlight())
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Bounds.Grace-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, e.shared.bounds().Grace-stopMargin)
 	defer cancel()
-	time.Sleep(min(leaveRotation, e.settings.Bounds.Grace/2))
+	time.Sleep(min(leaveRotation, e.shared.bounds().Grace/2))
 	if err := work.Shutdown(ctx); err != nil {
 		logCutOff(err, e.balance.InFlight())
 		_ = work.Close()
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -11,14 +11,16 @@
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/metrics"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 )
 
 // serverLog drops the library's lines about broken connections of callers: each request has a line of its own.
 var serverLog = stdlog.New(io.Discard, "", 0)
 
-// logRequest writes the line of one request.
+// logRequest writes the line of one request and counts it.
 func logRequest(r *gateway.Record) {
+	countRequest(r)
 	f := log.Fields{
 		"id": r.ID, "outcome": r.Outcome, "status": r.Status, "took": r.Duration, "config": r.ConfigVersion,
 		"list": r.ListRevision, "route": r.Route, "account": r.Account,
@@ -56,6 +58,7 @@
 }
 
 func logList(e listwatch.Event) {
+	metrics.Platform.Add(string(e.Kind), 1)
 	f := log.Fields{"event": e.Kind, "revision": e.Revision}
 	if e.Version > 0 {
 		f["config"] = e.Version
@@ -70,6 +73,7 @@
 }
 
 func logFleet(e fleet.Event) {
+	metrics.Peers.Add(string(e.Kind), 1)
 	f := log.Fields{"event": e.Kind, "peer": e.Peer}
 	if e.Value > 0 {
 		f["value"] = e.Value
@@ -100,6 +104,7 @@
 // logGroup writes the decisions about one group.
 func logGroup(group string) func(rankgroup.Event) {
 	return func(e rankgroup.Event) {
+		countGroup(e)
 		f := log.Fields{"group": group, "event": e.Kind, "epoch": e.Epoch}
 		if e.Version > 0 {
 			f["map"], f["loads"], f["took"] = e.Version, e.Loads, e.Took
--- /dev/null
+++ b/internal/node/observe.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/camphorbank/camphorbank/internal/decision"
+	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/internal/metrics"
+	"github.com/camphorbank/camphorbank/internal/outcome"
+	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/status"
+)
+
+// keptRecords is the number of requests that a process can explain, as on its own interface.
+const keptRecords = 1024
+
+func countRequest(r *gateway.Record) {
+	metrics.Requests.Add(string(r.Outcome), 1)
+	if r.Reason != "" {
+		metrics.Reasons.Add(string(r.Reason), 1)
+	}
+	for _, t := range r.Tries {
+		metrics.Tries.Add(t.Result, 1)
+	}
+	metrics.Duration.Observe(r.Duration)
+	if r.FirstByte > 0 {
+		metrics.FirstByte.Observe(r.FirstByte)
+	}
+	if r.LongestGap > 0 {
+		metrics.LongestGap.Observe(r.LongestGap)
+	}
+}
+
+func countGroup(e rankgroup.Event) {
+	metrics.Groups.Add(e.Kind, 1)
+	if e.Kind == "switched" {
+		metrics.Loads.Add(int64(e.Loads))
+		metrics.Switch.Observe(e.Took)
+	}
+}
+
+// serveMetrics serves counters, and on entries the records of the latest requests, at addr until ctx ends. A process
+// without metrics goes on serving.
+func serveMetrics(ctx context.Context, addr string, records *decision.Ring, name string) {
+	if addr == "" {
+		return
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		log.WithField("error", err.Error()).Warn("metrics are not served")
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics.Handler())
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /fleet/explain/{id}", func(w http.ResponseWriter, r *http.Request) {
+		record, found := records.Find(r.PathValue("id"))
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(status.Explanation{Found: found, Entry: name, Record: record}) // the reader left
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: serverLog}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }() // ends with the process
+}
+
+// explained turns a record of the gateway into one that the command line shows.
+func explained(r *gateway.Record) decision.Record {
+	out := decision.Record{
+		RequestID: r.ID, ClientAccount: r.Account, Kind: r.Route, Serves: r.Service, Revision: r.ConfigVersion,
+		Received: r.Started, Duration: r.Duration, Outcome: outcomeOf(r.Outcome), Reason: outcome.Reason(r.Reason),
+	}
+	for i, t := range r.Tries {
+		a := decision.Attempt{Number: i + 1, Target: t.Target, Started: r.Started.Add(t.Started), Duration: t.Took, Message: t.Result}
+		if t.Err != nil {
+			a.Message += ": " + t.Err.Error()
+		}
+		out.Attempts = append(out.Attempts, a)
+	}
+	return out
+}
+
+func outcomeOf(o gateway.Outcome) outcome.Outcome {
+	switch o {
+	case gateway.OutcomeServed:
+		return outcome.Completed
+	case gateway.OutcomeRefused, gateway.OutcomeRejected:
+		return outcome.NotRun
+	default:
+		return outcome.Unknown
+	}
+}
+
+// setGauges publishes what the process believes now.
+func (e *entry) setGauges() {
+	live, known := e.fleet.Live()
+	list := e.targets.Snapshot()
+	metrics.Set("configuration_version", e.tables.Version())
+	metrics.Set("list_revision", list.Revision)
+	metrics.Set("targets", int64(len(list.ByID)))
+	metrics.Set("entries_live", int64(live))
+	metrics.Set("entries_known", int64(known))
+	metrics.Set("requests_in_flight", int64(total(e.balance.InFlight())))
+	metrics.Set("target_connections_opened", e.pool.Dials())
+}
+
+// gaugeInterval is the time between two updates of the gauges; the platform reads them every 5 s.
+const gaugeInterval = time.Second
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -77,6 +77,8 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() { _ = server.Serve(background, l) }() // ends with the process
+	go r.adapters.Reload.run(background, r.settings, func(s *Settings) { r.client.SetSeeds(s.Seeds) })
+	serveMetrics(background, r.settings.Listen.Metrics, nil, r.settings.Name)
 	r.register(ctx)
 	server.Close()
 	return nil
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,6 +21,7 @@
 	Ready func(ready func() bool) http.Handler
 	// Engine returns a client of the engine at an address.
 	Engine func(addr string) rankgroup.Engine
+	Reload *Reloader // nil if the settings do not change
 }
 
 // Run serves the role of the settings until ctx ends, then stops gracefully.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -76,6 +76,19 @@
 	f.processes = max(1, n)
 }
 
+// SetAllowance changes the fleet's allowance. Counts are kept unless the length of the window changes.
+func (f *Fleet) SetAllowance(a Allowance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.Window != f.allowance.Window {
+		f.windows = map[string]*Window{}
+	}
+	for _, w := range f.windows {
+		w.allowance = a
+	}
+	f.allowance = a
+}
+
 func (f *Fleet) window(service string) *Window {
 	w := f.windows[service]
 	if w == nil {
