--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,210 @@
+package balance
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
+
+// testModel has the figures of the users' engines.
+var testModel = &routetable.Service{Name: "m", Engine: &routetable.Engine{
+	Slots: 12, Stride: 4, StepTime: 4550 * time.Microsecond, PerRequest: 905 * time.Microsecond,
+	Experts: routetable.Experts{Share: 0.85},
+}}
+
+func engines(n int) []*targetset.Target {
+	var out []*targetset.Target
+	for i := range n {
+		out = append(out, &targetset.Target{ID: fmt.Sprint("i-", i), Addr: fmt.Sprint("a-", i), Service: "m", Slots: 12, DataCentre: "near"})
+	}
+	return out
+}
+
+func groupReport(name string, seq int64, list []*targetset.Target, imbalance float64) GroupReport {
+	r := GroupReport{Name: name, Seq: seq, Open: true, Imbalance: imbalance}
+	for _, t := range list {
+		r.Ranks = append(r.Ranks, RankReport{Engine: t.Addr, Pace: 1})
+	}
+	return r
+}
+
+func modelJob(list []*targetset.Target) *Job {
+	return &Job{Name: "m", Service: testModel, EventGap: 120 * time.Millisecond, MaxWait: 200 * time.Millisecond, Left: 8 * time.Second,
+		Targets: func() []*targetset.Target { return list }}
+}
+
+// fill takes places until none is left.
+func fill(b *Balancer, job *Job) []*Lease {
+	var out []*Lease
+	for {
+		l, r := b.Acquire(context.Background(), job)
+		if r != nil {
+			return out
+		}
+		out = append(out, l)
+	}
+}
+
+// TestPlacesOfGroup guards against a group that takes so many requests that its passes exceed the pause which callers
+// accept once the popularity of experts shifts, and against refusals while half of the slots are free. Load pattern:
+// a crest that exceeds what the groups can serve.
+func TestPlacesOfGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(16)
+		b.Group(groupReport("g1", 1, list[:8], 1.1))
+		b.Group(groupReport("g2", 1, list[8:], 1.1))
+		n := len(fill(b, modelJob(list)))
+		if pass := passTime(testModel.Engine, n/16, float64(n)/16, assumedImbalance, 1); pass > 120*time.Millisecond {
+			t.Errorf("%d requests make passes of %v", n, pass)
+		}
+		if n < 16*12/2 {
+			t.Errorf("refused with %d of %d slots taken", n, 16*12)
+		}
+	})
+}
+
+// TestEvenGroupGetsMore guards against requests that go to a group whose map is uneven while another one is even. Load
+// pattern: the popularity of experts has shifted in one group.
+func TestEvenGroupGetsMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(16)
+		b.Group(groupReport("g1", 1, list[:8], 2.5))
+		b.Group(groupReport("g2", 1, list[8:], 1.1))
+		uneven := 0
+		for range 40 {
+			l, r := b.Acquire(context.Background(), modelJob(list))
+			if r != nil {
+				t.Fatal(r)
+			}
+			if l.Target.Addr < "a-8" && len(l.Target.Addr) == 3 {
+				uneven++
+			}
+		}
+		if uneven > 12 {
+			t.Errorf("%d of 40 requests went to the uneven group", uneven)
+		}
+	})
+}
+
+// TestBrokenGroupIsLeft guards against requests for a group that has lost a rank, whose work stalls.
+func TestBrokenGroupIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(16)
+		broken := groupReport("g1", 1, list[:8], 1.1)
+		broken.Open = false
+		b.Group(broken)
+		b.Group(groupReport("g2", 1, list[8:], 1.1))
+		for range 30 {
+			l, r := b.Acquire(context.Background(), modelJob(list))
+			if r != nil {
+				t.Fatal(r)
+			}
+			for _, x := range list[:8] {
+				if l.Target == x {
+					t.Fatalf("%s is in the broken group", x.ID)
+				}
+			}
+		}
+	})
+}
+
+// TestReturningCallersGoFirst guards against callers that are refused twice, which are lost, while places come free.
+// Load pattern: a crest that lasts longer than the time to come back.
+func TestReturningCallersGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(1)
+		plain := func(returning bool) *Job {
+			return &Job{Name: "p", MaxWait: time.Second, Returning: returning, Targets: func() []*targetset.Target { return list }}
+		}
+		leases := fill(b, plain(false))
+		order := make(chan string, 2)
+		wait := func(name string, returning bool) {
+			if _, r := b.Acquire(context.Background(), plain(returning)); r == nil {
+				order <- name
+			}
+		}
+		leases[0].Done(Served) // shows that places come free
+		leases[0], _ = b.Acquire(context.Background(), plain(false))
+		go wait("new", false)
+		synctest.Wait()
+		go wait("returning", true)
+		synctest.Wait()
+		for _, l := range leases[:2] {
+			l.Done(Served)
+			synctest.Wait()
+		}
+		if first := <-order; first != "returning" {
+			t.Errorf("%s went first", first)
+		}
+	})
+}
+
+// TestRefusalIsSpread guards against callers that are refused together and come back together.
+func TestRefusalIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(1)
+		job := modelJob(list)
+		fill(b, job)
+		least, most := time.Hour, time.Duration(0)
+		for range 50 {
+			_, r := b.Acquire(context.Background(), job)
+			least, most = min(least, r.RetryAfter), max(most, r.RetryAfter)
+		}
+		if most > job.Left/3 || most-least < 500*time.Millisecond {
+			t.Errorf("times to come back from %v to %v", least, most)
+		}
+	})
+}
+
+// TestFailingTargetIsAvoided guards against requests for a target that breaks connections, and against a target that
+// stays out of use after it has recovered.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(2)
+		job := &Job{Name: "p", Targets: func() []*targetset.Target { return list }}
+		works := false
+		serve := func() (bad int) {
+			for range 20 {
+				l, r := b.Acquire(context.Background(), job)
+				if r != nil {
+					t.Fatal(r)
+				}
+				if l.Target == list[0] && !works {
+					bad++
+					l.Done(Broken)
+					continue
+				}
+				l.Done(Served)
+			}
+			return bad
+		}
+		if bad := serve(); bad > 3 {
+			t.Errorf("%d of 20 requests went to the broken target", bad)
+		}
+		works = true
+		time.Sleep(maxBackoff)
+		serve()
+		used := 0
+		for range 20 {
+			l, _ := b.Acquire(context.Background(), job)
+			if l.Target == list[0] {
+				used++
+			}
+			l.Done(Served)
+		}
+		if used == 0 {
+			t.Error("the target that works again gets no requests")
+		}
+	})
+}
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -34,7 +34,7 @@
 	groupAge = 1500 * time.Millisecond
 	// assumedImbalance is the imbalance for which places are kept free. The popularity of experts shifts every few
 	// seconds, and until the map follows, the rank with the most popular expert has three times the mean work.
-	assumedImbalance = 2.6
+	assumedImbalance = 2.3
 	// readingShare is the part of a pass that is kept free for the reading of new prompts.
 	readingShare = 0.1
 	// defaultEventGap is the longest pass where a route states no pause.
