Let six entries at most follow the platform's store, and test whole entries against stand-ins

The others learn of a change with the next beat, and read again once fewer than six that come before them are in touch and reach the store. Tests: a planned stop with streams in flight, an entry that the store turns away, metrics and records.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,6 +41,7 @@
 	InFlight func() map[string]int
 	Report   func(process string, inFlight map[string]int)
 	Group    func(GroupState)
+	Reading  func() bool // whether this process follows the platform by itself and reaches it
 	Stopping func() bool
 	Notify   func(Event) // is told each change of what the process believes; must not block
 }
@@ -80,6 +81,7 @@
 	known   time.Time // last word of its existence
 	calling bool
 	live    bool
+	reading bool // follows the platform by itself and reaches it
 }
 
 type rankState struct {
@@ -191,7 +193,7 @@
 	list := f.opt.Targets.Snapshot()
 	return Beat{
 		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Revision, Members: f.memberHash(),
-		Leaves: f.opt.Targets.Leaves(time.Now()), InFlight: encodeInFlight(list, f.opt.InFlight()), Stopping: f.opt.Stopping(),
+		Leaves: f.opt.Targets.Leaves(time.Now()), InFlight: encodeInFlight(list, f.opt.InFlight()), Reading: f.opt.Reading(), Stopping: f.opt.Stopping(),
 	}
 }
 
@@ -238,6 +240,7 @@
 		e.Entry = b.From
 	}
 	e.heard = now
+	e.reading = b.Reading && !b.Stopping
 	f.mu.Unlock()
 	f.opt.Targets.Leave(b.Leaves)
 	list := f.opt.Targets.Snapshot()
@@ -353,6 +356,23 @@
 	return live, known
 }
 
+// maxReaders is the number of entries that follow the platform at the same time. Its calls are limited and priced, and
+// the others learn of a change with the next beat.
+const maxReaders = 6
+
+// EnoughReaders says whether so many entries that come before this one follow the platform that this one need not.
+func (f *Fleet) EnoughReaders() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for addr, e := range f.entries {
+		if e.live && e.reading && addr < f.opt.Self.Control {
+			n++
+		}
+	}
+	return n >= maxReaders
+}
+
 // Ranks returns the known processes beside ranks, by the address of their engine.
 func (f *Fleet) Ranks() map[string]Rank {
 	f.mu.Lock()
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -45,6 +45,7 @@
 	Leaves  []targetset.Leave `json:"lv,omitempty"`
 	// InFlight counts the requests in flight from the sender, in the order of the targets' ids at the revision List.
 	InFlight []byte `json:"if,omitempty"`
+	Reading  bool   `json:"rd,omitempty"` // the sender follows the platform by itself and reaches it
 	Stopping bool   `json:"st,omitempty"`
 }
 
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -43,6 +44,8 @@
 	watchWait = 2500 * time.Millisecond
 	// readTimeout bounds one reading call.
 	readTimeout = 1500 * time.Millisecond
+	// idlePause is the time between two looks whether others still read the platform.
+	idlePause = 100 * time.Millisecond
 	// firstPause and maxPause bound the time between two attempts to reach the platform. It doubles with each failure.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -53,14 +56,19 @@
 	Source  Source
 	Targets *targetset.Set
 	Tables  *routetable.Store
+	// Idle says whether enough other processes read the platform and pass on what they learn; nil for never.
+	Idle func() bool
 	// Notify is told each change of what the process believes; must not block.
 	Notify func(Event)
 
 	revision int64 // up to which changes are known; 0 before the first list
 	lost     bool  // the platform did not answer the latest call
-	listed   bool
+	reading  atomic.Bool
 }
 
+// Reading says whether this process follows the platform by itself and reaches it.
+func (w *Watcher) Reading() bool { return w.reading.Load() }
+
 // Event is a change of what the process believes.
 type Event struct {
 	Kind     EventKind
@@ -88,7 +96,13 @@
 func (w *Watcher) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if w.revision > 0 && !w.lost && w.Idle != nil && w.Idle() {
+			w.reading.Store(false)
+			w.pause(ctx, idlePause)
+			continue
+		}
 		err := w.step(ctx)
+		w.reading.Store(err == nil)
 		if ctx.Err() != nil {
 			return
 		}
@@ -103,14 +117,18 @@
 			continue
 		}
 		w.failed(err)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+		w.pause(ctx, pause)
 		pause = min(maxPause, 2*pause)
 	}
 }
 
+func (w *Watcher) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (w *Watcher) failed(err error) {
 	if !w.lost {
 		w.lost = true
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -65,13 +65,14 @@
 	e.shared.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
 	e.retries = retry.NewFleet(allowance(s.Bounds), s.FirstStart, time.Now)
+	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logList}
 	e.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano()},
 		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets,
 		InFlight: e.balance.InFlight, Report: e.balance.Report, Group: e.group,
-		Stopping: e.stopping.Load, Notify: logFleet,
+		Reading: e.watcher.Reading, Stopping: e.stopping.Load, Notify: logFleet,
 	})
-	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logList}
+	e.watcher.Idle = e.fleet.EnoughReaders
 	return e
 }
 
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,205 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/node"
+	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/upstream"
+	"github.com/camphorbank/camphorbank/platform"
+	"github.com/camphorbank/camphorbank/test/standin/store"
+	"github.com/camphorbank/camphorbank/test/standin/target"
+)
+
+const testConfig = `{"version":%d,"routes":[
+	{"name":"s","hostname":"h","prefix":"/s/","route_kind":"stream","timeout_ms":8000,"target_latency_ms":500,"service":"m","max_attempts":2,"stream_resumption":true},
+	{"name":"u","hostname":"h","prefix":"/u/","route_kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"m"}],
+	"services":[{"name":"m"}]}`
+
+// entryProcess is one entry with all its listeners on loopback.
+type entryProcess struct {
+	t        *testing.T
+	settings *node.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startEntry(t *testing.T, name, storeAddr string, seeds ...string) *entryProcess {
+	s := &node.Settings{Name: name, Role: node.RoleEntry, IP: "127.0.0.1", DataCentre: "a", Store: storeAddr, FirstStart: true,
+		Listen: node.Listen{Callers: freeAddr(t), Ready: freeAddr(t), Control: freeAddr(t), Metrics: freeAddr(t)},
+		Bounds: node.Bounds{Grace: 6 * time.Second, RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second}}
+	s.Seeds = append(seeds, s.Listen.Control)
+	ctx, stop := context.WithCancel(context.Background())
+	p := &entryProcess{t: t, settings: s, stop: stop, done: make(chan error, 1)}
+	transport := &http.Transport{DialContext: upstream.Dialer().DialContext}
+	go func() {
+		p.done <- node.Run(ctx, s, node.Adapters{Dialect: platform.Dialect{}, Source: platform.NewStore(storeAddr, transport),
+			Ready: platform.ReadyHandler, Engine: func(addr string) rankgroup.Engine { return platform.NewEngine(addr, transport) }})
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-p.done
+		close(p.done)
+	})
+	return p
+}
+
+func (p *entryProcess) ready() bool {
+	resp, err := http.Get("http://" + p.settings.Listen.Ready + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (p *entryProcess) until(what string, ok func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	p.t.Fatalf("%s: %s not within 6 s", p.settings.Name, what)
+}
+
+func (p *entryProcess) do(method, path string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+p.settings.Listen.Callers+path, strings.NewReader("x"))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h"
+	req.Header.Set(target.HeaderID, "r-1")
+	return http.DefaultClient.Do(req)
+}
+
+func startPlatform(t *testing.T, b target.Behaviour) (*store.Store, *target.Target) {
+	st := store.Start()
+	t.Cleanup(st.Close)
+	tg, err := target.Start(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(tg.Close)
+	st.Put("op/config", fmt.Sprintf(testConfig, 1))
+	st.Put("servers/i-1", `{"service":"m","address":"`+tg.Addr+`","zone":"a","version":"v","slots":9,"state":"ready","born":1}`)
+	return st, tg
+}
+
+// TestStopCutsNothingOff guards against a planned stop that cuts off a stream in flight, refuses requests that still come
+// in, or stays ready.
+func TestStopCutsNothingOff(t *testing.T) {
+	st, _ := startPlatform(t, target.Stream(30, 100*time.Millisecond, false))
+	p := startEntry(t, "e1", st.Addr())
+	p.until("readiness", p.ready)
+	resp, err := p.do("POST", "/s/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	p.stop()
+	p.until("unreadiness", func() bool { return !p.ready() })
+	second, err := p.do("POST", "/s/x")
+	if err != nil {
+		t.Fatalf("a request right after the stop began: %v", err)
+	}
+	defer second.Body.Close()
+	for i, r := range []*http.Response{resp, second} {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || strings.Count(string(body), "id:") != 30 {
+			t.Errorf("stream %d: %v after %d events", i, err, strings.Count(string(body), "id:"))
+		}
+	}
+	select {
+	case err := <-p.done:
+		p.done <- err
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the process runs on after its last request")
+	}
+}
+
+// TestEntryWithoutStoreLearnsFromPeer guards against an entry that the platform's store turns away and that stays with an
+// older configuration, or sends requests to a target that is known to leave.
+func TestEntryWithoutStoreLearnsFromPeer(t *testing.T) {
+	st, tg := startPlatform(t, target.Answer(200, "ok"))
+	first := startEntry(t, "e1", st.Addr())
+	first.until("readiness", first.ready)
+	away := store.Start()
+	t.Cleanup(away.Close)
+	away.SetMode(store.Busy)
+	second := startEntry(t, "e2", away.Addr(), first.settings.Listen.Control)
+	second.until("readiness", second.ready)
+	resp, err := second.do("POST", "/u/x")
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	resp.Body.Close()
+	st.Put("servers/i-1", `{"service":"m","address":"`+tg.Addr+`","zone":"a","version":"v","slots":9,"state":"draining","born":1}`)
+	second.until("the leave", func() bool {
+		resp, err := second.do("POST", "/u/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	st.Put("op/config", strings.Replace(fmt.Sprintf(testConfig, 5), "/u/", "/v/", 1))
+	second.until("the configuration", func() bool {
+		resp, err := second.do("POST", "/u/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == 404
+	})
+}
+
+// TestMetricsAndRecords guards against requests that cannot be explained afterwards.
+func TestMetricsAndRecords(t *testing.T) {
+	st, _ := startPlatform(t, target.Reset())
+	p := startEntry(t, "e1", st.Addr())
+	p.until("readiness", p.ready)
+	resp, err := p.do("POST", "/u/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	read := func(path string) string {
+		resp, err := http.Get("http://" + p.settings.Listen.Metrics + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(body)
+	}
+	for path, want := range map[string]string{
+		"/metrics": "not_served_total{outcome-unknown} ", "/fleet/explain/r-1": `"target":"i-1"`, "/fleet/explain/nobody": `"found":false`,
+	} {
+		if got := read(path); !strings.Contains(got, want) {
+			t.Errorf("%s lacks %s:\n%s", path, want, got)
+		}
+	}
+}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -59,5 +59,4 @@
 type sharedSettings struct{ p atomic.Pointer[Settings] }
 
 func (s *sharedSettings) set(v *Settings) { s.p.Store(v) }
-func (s *sharedSettings) load() *Settings { return s.p.Load() }
 func (s *sharedSettings) bounds() Bounds  { return s.p.Load().Bounds }
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -17,7 +17,6 @@
 	g        *fakeGroup
 	agents   []*Agent
 	switched atomic.Int64
-	log      []string
 }
 
 func newTestFleet(t *testing.T, seed uint64) *testFleet {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -97,7 +97,6 @@
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
-	total int
 	dials int64
 }
 
