--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,15 +156,27 @@
 	case x.ran && !x.route.Idempotent():
 		x.giveUp(ReasonUnknown, 0)
 	case x.sends >= x.route.MaxAttempts:
-		x.giveUp(ReasonAttempts, unsentWait)
+		x.giveUp(ReasonAttempts, x.refusedWait())
 	case !x.g.Retries.Take(x.service):
-		x.giveUp(ReasonBudget, unsentWait)
+		x.giveUp(ReasonBudget, x.refusedWait())
 	default:
 		return true
 	}
 	return false
 }
 
+const (
+	// longestRefusedWait is when a caller may come back whose request targets refused: a group that lost a rank has formed
+	// anew by then.
+	longestRefusedWait = time.Second
+	// honouredShare is the part of its remaining time for which a caller honours the time to come back.
+	honouredShare = 0.32
+)
+
+func (x *exchange) refusedWait() time.Duration {
+	return min(longestRefusedWait, time.Duration(honouredShare*float64(time.Until(x.expires))))
+}
+
 // giveUp answers a request for which no further attempt is made.
 func (x *exchange) giveUp(reason Reason, retryAfter time.Duration) {
 	switch {
