--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"sync"
 	"time"
@@ -42,14 +41,15 @@
 	Coordinator int   `json:"c"` // rank of the coordinator that asks
 	Have        int64 `json:"h"` // number of the snapshot that it has; 0 for none
 	StatusOnly  bool  `json:"o"` // leaves the counts out
+	Layers      int   `json:"l"` // of the counts
 }
 
 // ReadReply is the state of a rank.
 type ReadReply struct {
 	Status Status `json:"s"`
 	Number int64  `json:"n"` // of the snapshot
-	// Since holds the choices of each expert since the snapshot that the request names, as variable-length integers.
-	// It is empty if the agent no longer has that snapshot.
+	// Since holds the encoded choices of each expert since the snapshot that the request names. It is empty if the agent
+	// no longer has that snapshot.
 	Since []byte `json:"d,omitempty"`
 }
 
@@ -70,7 +70,7 @@
 	defer a.mu.Unlock()
 	out := ReadReply{Status: s}
 	if r.Have == a.number && len(a.counts) == len(c.Total) && a.born == s.Born {
-		out.Since = encodeCounts(c.Total, a.counts)
+		out.Since = encodeCounts(c.Total, a.counts, r.Layers)
 	}
 	a.number++
 	a.counts, a.born = c.Total, s.Born
@@ -91,42 +91,11 @@
 	return last
 }
 
-// encodeCounts encodes the growth of counts. It returns nothing if a count went down, since the engine then counts
-// anew.
-func encodeCounts(now, before []int64) []byte {
-	out := make([]byte, 0, len(now)+len(now)/2)
-	for i, n := range now {
-		if n < before[i] {
-			return nil
-		}
-		out = binary.AppendUvarint(out, uint64(n-before[i]))
-	}
-	return out
-}
-
-var errCounts = errors.New("counts are malformed")
-
-// decodeCounts decodes the growth of n counts.
-func decodeCounts(data []byte, n int) ([]float64, error) {
-	out := make([]float64, 0, n)
-	for len(data) > 0 {
-		v, size := binary.Uvarint(data)
-		if size <= 0 || len(out) == n {
-			return nil, errCounts
-		}
-		out = append(out, float64(v))
-		data = data[size:]
-	}
-	if len(out) != n {
-		return nil, errCounts
-	}
-	return out, nil
-}
-
 // OrderRequest is an order of a coordinator.
 type OrderRequest struct {
-	Order Order `json:"o"`
-	Fence int64 `json:"f"` // the first of FencesPerOrder numbers that the order may use
+	Order Order  `json:"o"`           // without the map
+	Map   []byte `json:"m,omitempty"` // encoded
+	Fence int64  `json:"f"`           // the first of FencesPerOrder numbers that the order may use
 	// For is the time in milliseconds in which the order is tried.
 	For int64 `json:"t"`
 }
@@ -150,6 +119,12 @@
 // Order gives an order to the engine, again while it stays unanswered. Each attempt carries a higher fencing number, so
 // that once one is answered no earlier one can be carried out.
 func (a *Agent) Order(ctx context.Context, r OrderRequest) (OrderReply, error) {
+	if len(r.Map) > 0 {
+		var err error
+		if r.Order.Map, err = decodeMap(r.Map); err != nil {
+			return OrderReply{}, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.For)*time.Millisecond)
 	defer cancel()
 	select {
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -54,10 +54,12 @@
 }
 
 const (
-	// idlePause is the time between two readings of the group while no map is loaded.
+	// idlePause is the time between two readings of the group while no map is loaded, and rankPause the part of it for each
+	// rank, which bounds the bytes of the readings.
 	idlePause = 60 * time.Millisecond
+	rankPause = 3 * time.Millisecond
 	// loadPause is the time between two readings while a map is loaded.
-	loadPause = 20 * time.Millisecond
+	loadPause = 30 * time.Millisecond
 	// readTimeout bounds one reading of a rank.
 	readTimeout = 250 * time.Millisecond
 )
@@ -83,6 +85,7 @@
 	pop      *popularity
 	engine   *routetable.Engine
 	pace     passPace
+	encoded  []byte // map of the order that is being given; nil for orders without one
 }
 
 // NewCoordinator returns a coordinator that must first learn the state of the group.
@@ -101,7 +104,7 @@
 		}
 		c.round(ctx)
 		if !c.urgent {
-			c.pause(ctx, idlePause)
+			c.pause(ctx, max(idlePause, rankPause*time.Duration(c.opt.Size)))
 		}
 	}
 }
@@ -152,7 +155,8 @@
 	c.each(func(rank int) {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, Have: c.have[rank], StatusOnly: statusOnly})
+		reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, Have: c.have[rank], StatusOnly: statusOnly,
+			Layers: c.layers()})
 		c.answered[rank] = err == nil
 		replies[rank] = reply
 	})
@@ -206,7 +210,7 @@
 		if c.pop == nil || len(r.Since) == 0 {
 			continue
 		}
-		chosen, err := decodeCounts(r.Since, len(c.pop.recent))
+		chosen, err := decodeCounts(r.Since, c.pop.shape.Layers, c.pop.shape.Experts)
 		if err != nil {
 			c.opt.Notify(Event{Kind: "counts-malformed", Epoch: c.epoch, Rank: rank, Err: err})
 			continue
@@ -240,6 +244,14 @@
 	}
 }
 
+// layers returns the number of layers, or 0 while it is unknown.
+func (c *Coordinator) layers() int {
+	if c.engine == nil {
+		return 0
+	}
+	return c.engine.Experts.Layers
+}
+
 func (c *Coordinator) shape() expertmap.Shape {
 	x := c.engine.Experts
 	return expertmap.Shape{Ranks: c.opt.Size, Layers: x.Layers, Experts: x.Count, SlotsPerRank: x.Places}
--- a/internal/rankgroup/port.go
+++ b/internal/rankgroup/port.go
@@ -60,7 +60,7 @@
 	Epoch   int64     `json:"epoch"` // the engine refuses the order in another epoch
 	Version int64     `json:"version,omitempty"`
 	Step    int64     `json:"step,omitempty"`
-	Map     [][][]int `json:"map,omitempty"` // experts by layer and rank
+	Map     [][][]int `json:"-"` // experts by layer and rank
 	Fence   int64     `json:"-"`
 }
 
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -46,7 +46,7 @@
 	o.Epoch = c.epoch
 	ctx, cancel := context.WithTimeout(ctx, limit+readTimeout)
 	defer cancel()
-	reply, err := c.opt.Ranks.Order(ctx, rank, OrderRequest{Order: o, Fence: fence, For: limit.Milliseconds()})
+	reply, err := c.opt.Ranks.Order(ctx, rank, OrderRequest{Order: o, Map: c.encoded, Fence: fence, For: limit.Milliseconds()})
 	if err != nil {
 		return ResultUnknown
 	}
@@ -215,7 +215,13 @@
 // load has all ranks load the map and waits for it.
 func (c *Coordinator) load(ctx context.Context, p plan) error {
 	epoch := c.epoch
-	if results := c.all(ctx, Order{Op: OpPrepare, Version: c.version, Map: p.experts().Slots}, prepareTime); !allDone(results) {
+	var err error
+	if c.encoded, err = encodeMap(p.experts().Slots); err != nil {
+		return err
+	}
+	results := c.all(ctx, Order{Op: OpPrepare, Version: c.version}, prepareTime)
+	c.encoded = nil
+	if !allDone(results) {
 		c.version++ // a rank may have seen a version that none reports
 		return resultsError(results)
 	}
