--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -103,5 +102,3 @@
 	x.record.end(OutcomeServed, "")
 	return resultServed, nil
 }
-
-var errNoEvents = errors.New("stream: events are malformed")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -152,6 +153,17 @@
 	}
 }
 
+// TestRefusedCallersComeBackLater guards against callers that come back while a group is still forming and are refused for
+// the second and last time. Seen in incident inc-02b0: 87 callers were told 0.2 s.
+func TestRefusedCallersComeBackLater(t *testing.T) {
+	w := newWorld(t, target.Full(), target.Full())
+	a := w.do("POST", "/stream/x", "prompt")
+	s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if err != nil || s < 0.3 || s > routeTimeout.Seconds()/3 {
+		t.Errorf("Retry-After is %q (%v), want a good part of the third of the time that callers honour", a.header.Get("Retry-After"), err)
+	}
+}
+
 // TestFailureIsPassedOnUnchanged guards against a target's own failure that is replaced or repeated.
 func TestFailureIsPassedOnUnchanged(t *testing.T) {
 	w := newWorld(t, target.Answer(500, "own"), target.Answer(500, "own"))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,6 +17,8 @@
 	maxEventBytes = 256 << 10
 )
 
+var errNoEvents = errors.New("stream: events are malformed")
+
 // stream passes events on as they come, whole ones only, so that the stream can go on at another target.
 func (x *exchange) stream(resp *upstream.Response) (result, error) {
 	buf := make([]byte, 0, eventBuffer)
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -168,23 +168,27 @@
 	return r.model
 }
 
-// tell sends the state of the group to the entries.
+// tell sends the state of the group to the entries, unless it was sent a moment ago.
 func (r *rank) tell(ctx context.Context, self fleet.Rank, s rankgroup.Report) {
+	if out, due := r.groupState(self, s, time.Now()); due {
+		r.client.Tell(ctx, out)
+	}
+}
+
+func (r *rank) groupState(self fleet.Rank, s rankgroup.Report, now time.Time) (out fleet.GroupState, due bool) {
 	r.mu.Lock()
-	if now := time.Now(); now.Sub(r.told) < tellInterval {
-		r.mu.Unlock()
-		return
-	} else {
-		r.told = now
+	defer r.mu.Unlock()
+	if now.Sub(r.told) < tellInterval {
+		return out, false
 	}
+	r.told = now
 	r.seq++
-	out := fleet.GroupState{Group: self.Group, Term: s.Term, Seq: r.seq, Open: true, Imbalance: s.Imbalance, Pass: s.Pass}
+	out = fleet.GroupState{Group: self.Group, Term: s.Term, Seq: r.seq, Open: true, Imbalance: s.Imbalance, Pass: s.Pass}
 	for i, rank := range s.Status {
 		out.Epoch = max(out.Epoch, rank.Epoch)
 		out.Open = out.Open && rank.Open
 		out.Ranks = append(out.Ranks, fleet.RankState{Engine: r.ranks[i].Engine, Active: rank.Active, Queued: rank.Queued,
 			Memory: rank.MemoryUsed, Pace: rank.Pace})
 	}
-	r.mu.Unlock()
-	r.client.Tell(ctx, out)
+	return out, true
 }
