--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -88,6 +88,23 @@
 type state struct {
 	own    int // requests in flight from this process
 	health health
+	pause  time.Duration // latest pause between two events of a stream
+	paused time.Time     // when that was seen
+}
+
+// pauseAge is the time for which a pause between two events tells the pace of a target.
+const pauseAge = time.Second
+
+// Pause tells the latest pause between two events of the request's stream.
+func (l *Lease) Pause(d time.Duration) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.s.pause, l.s.paused = d, l.b.now()
+}
+
+// slow says whether a target whose group is unknown sends events with longer pauses than the job accepts.
+func (s *state) slow(job *Job, now time.Time) bool {
+	return now.Sub(s.paused) < pauseAge && s.pause > gapOf(job)
 }
 
 // New returns a balancer for a process in the data centre.
@@ -154,6 +171,9 @@
 		}
 		return float64(n) + far.Seconds()*1000*spread + rand.Float64()*spread, true
 	}
+	if g == nil && b.state(t).slow(job, now) {
+		return 0, false
+	}
 	mean := float64(l.requests+1) / float64(l.ranks)
 	pace := g.slowest()
 	if n >= t.Slots || !job.Returning && passTime(e, n+1, mean, assumedImbalance, pace) > gapOf(job) {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -208,3 +208,38 @@
 		}
 	})
 }
+
+// TestSlowGroupWithoutReport guards against work for engines whose group has no process of ours and makes slow passes, and
+// against engines that stay out of use once nothing shows that they are slow. Load pattern: the engines of a service are
+// replaced, and the new ones are slow. Seen in incident inc-12b1.
+func TestSlowGroupWithoutReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(2)
+		job := modelJob(list)
+		var leases []*Lease
+		for range 4 {
+			l, _ := b.Acquire(context.Background(), job)
+			if l.Target == list[0] {
+				l.Pause(600 * time.Millisecond)
+			} else {
+				l.Pause(60 * time.Millisecond)
+			}
+			leases = append(leases, l)
+		}
+		for range 3 {
+			l, r := b.Acquire(context.Background(), job)
+			if r != nil || l.Target == list[0] {
+				t.Fatalf("%v went to the slow engine", r)
+			}
+			leases = append(leases, l)
+		}
+		for _, l := range leases {
+			l.Done(Served)
+		}
+		time.Sleep(2 * pauseAge)
+		if n := len(fill(b, job)); n <= list[1].Slots {
+			t.Errorf("%d places, so that one engine stays out of use", n)
+		}
+	})
+}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -86,9 +86,6 @@
 
 // RankState is the state of one rank's engine.
 type RankState struct {
-	Engine string  `json:"e"` // address; empty while it is unknown
-	Active int     `json:"a"` // requests in the batch
-	Queued int     `json:"q"` // requests that wait at the engine
-	Memory int     `json:"m"` // tokens of the KV cache in use
-	Pace   float64 `json:"p"` // above 1 if the engine is slow
+	Engine string  `json:"e"`           // address; empty while it is unknown
+	Pace   float64 `json:"p,omitempty"` // above 1 if the engine is slow
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,7 @@
 		x.giveUp(Reason(refusal.Reason), refusal.RetryAfter)
 		return false
 	}
+	x.lease = lease
 	t := lease.Target
 	started := time.Now()
 	result, err := x.send(lease)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -70,6 +70,7 @@
 	expires time.Time
 	record  Record
 
+	lease    *balance.Lease // of the present attempt
 	exclude  map[targetset.Incarnation]bool
 	sends    int    // targets that the request was sent to
 	begun    bool   // the caller has the head of the answer
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,10 +34,12 @@
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if end := wholeEvents(buf); end > 0 {
+			now := time.Now()
 			if x.record.FirstByte > 0 {
-				x.record.LongestGap = max(x.record.LongestGap, time.Since(last))
+				x.record.LongestGap = max(x.record.LongestGap, now.Sub(last))
+				x.lease.Pause(now.Sub(last))
 			}
-			last = time.Now()
+			last = now
 			if !x.pass(resp, buf[:end]) {
 				resp.Finish(false)
 				return resultLeft, nil
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -187,8 +187,7 @@
 	for i, rank := range s.Status {
 		out.Epoch = max(out.Epoch, rank.Epoch)
 		out.Open = out.Open && rank.Open
-		out.Ranks = append(out.Ranks, fleet.RankState{Engine: r.ranks[i].Engine, Active: rank.Active, Queued: rank.Queued,
-			Memory: rank.MemoryUsed, Pace: rank.Pace})
+		out.Ranks = append(out.Ranks, fleet.RankState{Engine: r.ranks[i].Engine, Pace: rank.Pace})
 	}
 	return out, true
 }
