--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,16 +1,10 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -197,32 +191,6 @@
 	}
 }
 
-// maxInFlight is the largest number of requests in flight that a beat can state for one target.
-const maxInFlight = 255
-
-// encodeInFlight lists the counts in the order of the targets' ids.
-func encodeInFlight(list *targetset.Snapshot, counts map[string]int) []byte {
-	out := make([]byte, 0, len(list.IDs))
-	for _, id := range list.IDs {
-		out = append(out, byte(min(maxInFlight, counts[id])))
-	}
-	return out
-}
-
-// decodeInFlight returns the counts by target id. ok is false if the sender's list is another one.
-func decodeInFlight(list *targetset.Snapshot, b Beat) (counts map[string]int, ok bool) {
-	if list.Revision != b.List || len(list.IDs) != len(b.InFlight) {
-		return nil, false
-	}
-	counts = map[string]int{}
-	for i, n := range b.InFlight {
-		if n > 0 {
-			counts[list.IDs[i]] = int(n)
-		}
-	}
-	return counts, true
-}
-
 func (f *Fleet) serveExchange(ctx context.Context, in Beat) (Beat, error) {
 	go f.take(context.WithoutCancel(ctx), in)
 	return f.beat(), nil
@@ -312,78 +280,6 @@
 	return out, nil
 }
 
-// members returns the known entries, this one included, and ranks.
-func (f *Fleet) members() ([]Entry, []Rank) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	entries := []Entry{f.opt.Self}
-	for _, e := range f.entries {
-		entries = append(entries, e.Entry)
-	}
-	var ranks []Rank
-	for _, r := range f.ranks {
-		ranks = append(ranks, r.Rank)
-	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Control, b.Control) })
-	slices.SortFunc(ranks, func(a, b Rank) int { return cmp.Compare(a.Name, b.Name) })
-	return entries, ranks
-}
-
-// memberHash is equal in entries that know the same members.
-func (f *Fleet) memberHash() uint64 {
-	entries, ranks := f.members()
-	h := xxhash.New()
-	for _, e := range entries {
-		_, _ = h.WriteString(e.Control + strconv.FormatInt(e.Started, 36))
-	}
-	for _, r := range ranks {
-		_, _ = h.WriteString(r.Name + strconv.FormatInt(r.Started, 36) + r.Group + strconv.Itoa(r.Rank))
-	}
-	return h.Sum64()
-}
-
-// Live returns the number of entries in touch, this one included, and of all that were heard of lately.
-func (f *Fleet) Live() (live, known int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	live, known = 1, 1
-	for _, e := range f.entries {
-		known++
-		if e.live {
-			live++
-		}
-	}
-	return live, known
-}
-
-// maxReaders is the number of entries that follow the platform at the same time. Its calls are limited and priced, and
-// the others learn of a change with the next beat.
-const maxReaders = 6
-
-// EnoughReaders says whether so many entries that come before this one follow the platform that this one need not.
-func (f *Fleet) EnoughReaders() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for addr, e := range f.entries {
-		if e.live && e.reading && addr < f.opt.Self.Control {
-			n++
-		}
-	}
-	return n >= maxReaders
-}
-
-// Ranks returns the known processes beside ranks, by the address of their engine.
-func (f *Fleet) Ranks() map[string]Rank {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make(map[string]Rank, len(f.ranks))
-	for r := range maps.Values(f.ranks) {
-		out[r.Engine] = r.Rank
-	}
-	return out
-}
-
 func (f *Fleet) serveRank(_ context.Context, in Rank) (RankReply, error) {
 	f.mu.Lock()
 	f.learnRank(in, time.Now())
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -39,8 +39,8 @@
 }
 
 func countGroup(e rankgroup.Event) {
-	metrics.Groups.Add(e.Kind, 1)
-	if e.Kind == "switched" {
+	metrics.Groups.Add(string(e.Kind), 1)
+	if e.Kind == rankgroup.EventSwitched {
 		metrics.Loads.Add(int64(e.Loads))
 		metrics.Switch.Observe(e.Took)
 	}
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -39,9 +39,24 @@
 	Pass      time.Duration // time of one pass, as seen lately; 0 if unknown
 }
 
+// EventKind names a decision about the group, or a change of what is known of it.
+type EventKind string
+
+// Kinds of events.
+const (
+	EventEpoch         EventKind = "epoch"              // the group formed anew
+	EventShifted       EventKind = "popularity-shifted" // other experts are chosen
+	EventMalformed     EventKind = "counts-malformed"
+	EventSwitched      EventKind = "switched" // all ranks have confirmed a map for one pass
+	EventSwitchFailed  EventKind = "switch-failed"
+	EventRecoverFailed EventKind = "recover-failed" // a rank did not accept the new term
+	EventDisarmFailed  EventKind = "disarm-failed"  // the group stays held
+	EventReleased      EventKind = "released"       // a hold that was left over is lifted
+)
+
 // Event is a decision about the group.
 type Event struct {
-	Kind    string
+	Kind    EventKind
 	Epoch   int64
 	Version int64
 	Step    int64
@@ -212,7 +227,7 @@
 		}
 		chosen, err := decodeCounts(r.Since, c.pop.shape.Layers, c.pop.shape.Experts)
 		if err != nil {
-			c.opt.Notify(Event{Kind: "counts-malformed", Epoch: c.epoch, Rank: rank, Err: err})
+			c.opt.Notify(Event{Kind: EventMalformed, Epoch: c.epoch, Rank: rank, Err: err})
 			continue
 		}
 		if sum == nil {
@@ -223,7 +238,7 @@
 		}
 	}
 	if sum != nil && c.pop.add(sum) {
-		c.opt.Notify(Event{Kind: "popularity-shifted", Epoch: c.epoch})
+		c.opt.Notify(Event{Kind: EventShifted, Epoch: c.epoch})
 	}
 }
 
@@ -237,7 +252,7 @@
 	}
 	if highest > c.epoch {
 		c.epoch, c.known, c.pending = highest, false, 0
-		c.opt.Notify(Event{Kind: "epoch", Epoch: highest})
+		c.opt.Notify(Event{Kind: EventEpoch, Epoch: highest})
 	}
 	if c.pop == nil && c.engine != nil && c.engine.Experts.Layers > 0 {
 		c.pop = newPopularity(c.shape())
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -31,7 +31,7 @@
 		Rank: rank, Size: testRanks, Ranks: newFakeLinks(f.g, f.agents, rank, cut), Now: today, Active: active,
 		Engine: func() *routetable.Engine { return testEngine }, Tell: func(Report) {},
 		Notify: func(e Event) {
-			if e.Kind == "switched" {
+			if e.Kind == EventSwitched {
 				f.switched.Add(1)
 			}
 			f.g.trace("coordinator of rank %d: %+v", rank, e)
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -85,7 +85,7 @@
 	c.known = false
 	// A release of a pass that nobody holds changes nothing, but tells the engine the new fencing number.
 	if results := c.all(ctx, Order{Op: OpRelease, Step: unusedStep}, undoTime); !c.settled(results) {
-		c.opt.Notify(Event{Kind: "recover-failed", Epoch: c.epoch, Err: resultsError(results)})
+		c.opt.Notify(Event{Kind: EventRecoverFailed, Epoch: c.epoch, Err: resultsError(results)})
 		c.raiseTerm(results)
 		return false
 	}
@@ -161,7 +161,7 @@
 	})
 	if !allDone(results) {
 		c.fenced = true
-		c.opt.Notify(Event{Kind: "disarm-failed", Epoch: c.epoch, Err: resultsError(results)})
+		c.opt.Notify(Event{Kind: EventDisarmFailed, Epoch: c.epoch, Err: resultsError(results)})
 		return false
 	}
 	return true
@@ -173,7 +173,7 @@
 		results[rank] = ResultDone
 		if held := c.status[rank].Held; held != nil {
 			results[rank] = c.order(ctx, rank, Order{Op: OpRelease, Step: *held}, undoTime)
-			c.opt.Notify(Event{Kind: "released", Epoch: c.epoch, Rank: rank, Step: *held})
+			c.opt.Notify(Event{Kind: EventReleased, Epoch: c.epoch, Rank: rank, Step: *held})
 		}
 	})
 	if !allDone(results) {
@@ -192,9 +192,9 @@
 	if err == nil {
 		e.Step, err = c.swap(ctx)
 	}
-	e.Kind, e.Err, e.Took = "switched", err, c.opt.Now().Sub(started)
+	e.Kind, e.Err, e.Took = EventSwitched, err, c.opt.Now().Sub(started)
 	if err != nil {
-		e.Kind = "switch-failed"
+		e.Kind = EventSwitchFailed
 		c.urgent = c.fenced
 	} else {
 		c.current = p.experts()
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -12,9 +12,9 @@
 // which a window is counted.
 const safety = 0.8
 
-// lonelyTime is the time after a restart in which a process that knows no other one uses no slack, since it may not have
+// discoveryTime is the time after a restart in which a process that knows no other one uses no slack, since it may not have
 // heard of the others yet.
-const lonelyTime = 2 * time.Second
+const discoveryTime = 2 * time.Second
 
 // Allowance bounds the further attempts of the whole fleet at one service in any span of the window.
 type Allowance struct {
@@ -127,7 +127,7 @@
 // known is the part of the window that this process has seen. What its predecessor used before a restart is not known
 // and counts for the fleet, so that the slack grows over the first window.
 func (f *Fleet) known(now time.Time) float64 {
-	if f.processes == 1 && now.Sub(f.started) < lonelyTime {
+	if f.processes == 1 && now.Sub(f.started) < discoveryTime {
 		return 0
 	}
 	return min(1, float64(now.Sub(f.started))/float64(f.allowance.Window))
