Remove what the change wrote twice or left unused

The share of its time for which a caller honours Retry-After stood in balance and in gateway; a search in a list had a function of its own beside slices.Contains; Pool.HasIdle and Job.PromptTokens had no reader.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,16 +31,15 @@
 
 // Job describes the request that needs a target.
 type Job struct {
-	Name         string              // of the service
-	Service      *routetable.Service // nil if the configuration does not describe it
-	EventGap     time.Duration       // longest pause between events that is on time; 0 if unstated
-	MaxWait      time.Duration       // for a place
-	Left         time.Duration       // until the caller gives up
-	Returning    bool                // the caller has been refused before, and is lost if it is refused again
-	Priority     int                 // 0 is the most urgent
-	PromptTokens int
-	Exclude      map[targetset.Incarnation]bool // that have failed this request
-	Targets      func() []*targetset.Target     // of the service
+	Name      string                         // of the service
+	Service   *routetable.Service            // nil if the configuration does not describe it
+	EventGap  time.Duration                  // longest pause between events that is on time; 0 if unstated
+	MaxWait   time.Duration                  // for a place
+	Left      time.Duration                  // until the caller gives up
+	Returning bool                           // the caller has been refused before, and is lost if it is refused again
+	Priority  int                            // 0 is the most urgent
+	Exclude   map[targetset.Incarnation]bool // that have failed this request
+	Targets   func() []*targetset.Target     // of the service
 }
 
 // engine returns the figures of the service's engines, or nil for a plain service.
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -13,11 +13,12 @@
 	// returnSpread is the part of the time until a refused caller may come back that is drawn at random, so that callers
 	// refused together do not come back together.
 	returnSpread = 0.4
-	// honouredShare is the part of its remaining time for which a caller honours the time to come back, less a margin
-	// for the way.
-	honouredShare = 0.32
 )
 
+// HonouredShare is the part of its remaining time for which a caller honours the time to come back, less a margin for the
+// way.
+const HonouredShare = 0.32
+
 // queue holds the requests of one service that wait for a place in this process, the most urgent first and those of one
 // urgency in the order of their arrival.
 type queue struct {
@@ -89,7 +90,7 @@
 // comeBack returns when a refused caller may come back. A demand swing lasts longer than callers honour the time, so they
 // return as late as they accept, spread over the time before it.
 func comeBack(job *Job) time.Duration {
-	latest := min(fullWait, time.Duration(honouredShare*float64(job.Left)))
+	latest := min(fullWait, time.Duration(HonouredShare*float64(job.Left)))
 	return time.Duration(float64(latest) * (1 - returnSpread*rand.Float64()))
 }
 
--- a/internal/fleet/rankclient.go
+++ b/internal/fleet/rankclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
@@ -46,22 +47,13 @@
 	defer c.mu.Unlock()
 	out := append([]string(nil), c.entries...)
 	for _, s := range c.Seeds {
-		if !contains(out, s) {
+		if !slices.Contains(out, s) {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *RankClient) learn(first string, entries []Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,8 +63,8 @@
 	return &balance.Job{
 		Name: x.service, Service: x.table.Service(x.service), EventGap: x.route.EventGap, Priority: x.priority(),
 		Left: time.Until(x.expires), Returning: x.returning(),
-		MaxWait:      min(time.Duration(waitShare*float64(x.route.Objective)), time.Until(x.expires)),
-		PromptTokens: x.call.PromptTokens, Exclude: x.exclude,
+		MaxWait: min(time.Duration(waitShare*float64(x.route.Objective)), time.Until(x.expires)),
+		Exclude: x.exclude,
 		Targets: func() []*targetset.Target { return x.g.Targets.Snapshot().ByService[x.service] },
 	}
 }
@@ -170,12 +170,10 @@
 	// longestRefusedWait is when a caller may come back whose request targets refused: a group that lost a rank has formed
 	// anew by then.
 	longestRefusedWait = time.Second
-	// honouredShare is the part of its remaining time for which a caller honours the time to come back.
-	honouredShare = 0.32
 )
 
 func (x *exchange) refusedWait() time.Duration {
-	return min(longestRefusedWait, time.Duration(honouredShare*float64(time.Until(x.expires))))
+	return min(longestRefusedWait, time.Duration(balance.HonouredShare*float64(time.Until(x.expires))))
 }
 
 // giveUp answers a request for which no further attempt is made.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -124,13 +124,6 @@
 	return p.dials
 }
 
-// HasIdle says whether a request to the target would likely find a connection.
-func (p *Pool) HasIdle(addr string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle[addr]) > 0
-}
-
 // take returns an idle connection that was used within maxIdle, or a new one.
 func (p *Pool) take(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
 	for {
