--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -64,8 +64,14 @@
 
 // Start starts a built program.
 func (f *Fleet) Start(name, program string, args ...string) (*Process, error) {
+	return f.StartWith(nil, name, program, args...)
+}
+
+// StartWith starts a built program with variables (NAME=VALUE) besides those of this process.
+func (f *Fleet) StartWith(variables []string, name, program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, log: &syncBuffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(filepath.Join(f.Bin, program), args...)
+	p.cmd.Env = append(os.Environ(), variables...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -26,6 +26,7 @@
 const (
 	open gateState = iota
 	held
+	heldBack // only what the server sends
 	partitioned
 )
 
@@ -67,6 +68,9 @@
 // Hold keeps all bytes in both directions until Heal, which delivers them late, even if the client has left.
 func (l *Link) Hold() { l.setGate(held) }
 
+// HoldBack keeps what the server sends until Heal, while requests still arrive.
+func (l *Link) HoldBack() { l.setGate(heldBack) }
+
 // Partition keeps all bytes in both directions from arriving. Heal resets the connections that were affected.
 func (l *Link) Partition() { l.setGate(partitioned) }
 
@@ -176,14 +180,14 @@
 	directions.Wait()
 }
 
-// pass waits until the gate is open. It returns false if the bytes must not arrive.
-func (l *Link) pass() bool {
+// pass waits until the gate lets bytes of a direction pass. It returns false if the bytes must not arrive.
+func (l *Link) pass(back bool) bool {
 	affected := false
 	for {
 		l.mu.Lock()
 		gate, changed := l.gate, l.changed
 		l.mu.Unlock()
-		if gate == open {
+		if gate == open || gate == heldBack && !back {
 			return !affected
 		}
 		affected = affected || gate == partitioned
--- a/test/faultproxy/faultproxy_test.go
+++ b/test/faultproxy/faultproxy_test.go
@@ -127,6 +127,14 @@
 	}
 	l.Heal()
 	eventually(t, "late delivery", func() bool { return s.count("held") == 1 })
+	l.HoldBack()
+	if post("one way") == nil {
+		t.Error("a response came over a link that is cut one way")
+	}
+	if s.count("one way") != 1 {
+		t.Error("a request did not arrive over a link that is cut the other way")
+	}
+	l.Heal()
 	l.Partition()
 	if post("lost") == nil {
 		t.Error("a response came over a partition")
--- a/test/faultproxy/pair.go
+++ b/test/faultproxy/pair.go
@@ -71,7 +71,7 @@
 		}
 		return true
 	}
-	if !p.link.pass() {
+	if !p.link.pass(false) {
 		return false
 	}
 	_, err := p.server.Write(chunk)
@@ -115,7 +115,7 @@
 		_, _ = p.client.Write(chunk[:max(0, fate.Bytes-received)])
 		return false
 	}
-	if !p.link.pass() {
+	if !p.link.pass(true) {
 		return false
 	}
 	_, err := p.client.Write(chunk)
