Reset connections whose request was given up

Cause: a caller left 2 s after its request went to an engine whose VM was frozen. Ruled out: a late close; the entry let go within 1 ms.

A connection that is given up is now reset, so that nothing more of it is sent.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -56,6 +56,15 @@
 	return &conn{Conn: c, addr: addr, reader: bufio.NewReaderSize(c, readBuffer), writer: bufio.NewWriter(sent), sent: sent}
 }
 
+// abandon ends the exchange on the connection. Closing it then resets it, so that the system sends nothing more of a
+// request that the target has not taken yet: a target that was out of reach must not get it later.
+func (c *conn) abandon() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.SetDeadline(longAgo)
+}
+
 // countingWriter counts the bytes that the network took.
 type countingWriter struct {
 	to io.Writer
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(longAgo) })
+	stop := context.AfterFunc(ctx, c.abandon)
 	resp, err := p.exchange(c, r)
 	if err == nil {
 		resp.stop = stop
