Keep callers to the limits on headers, time and idle connections

The gateway enforced the limit on bodies only. Heads above the limit are answered 431, bodies that do not arrive in the request's time 408, and connections that send no head in time or stay idle are closed. A table of malformed and smuggled requests guards that none of them reaches a target.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -88,6 +89,10 @@
 	}
 	x.record.ConfigVersion = x.table.Config.Version
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	if limit := x.table.Config.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
+		x.refuse(http.StatusRequestHeaderFieldsTooLarge, ReasonHeaders, 0)
+		return false
+	}
 	if x.call.ID == "" || !strings.HasPrefix(path, "/") {
 		x.refuse(http.StatusBadRequest, ReasonBadRequest, 0)
 		return false
@@ -121,12 +126,16 @@
 		x.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readWithin(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.w.Header().Set("Connection", "close")
+		x.refuse(http.StatusRequestTimeout, ReasonSlowBody, 0)
+		return false
 	case err != nil:
 		x.record.end(OutcomeLeft, ReasonBody)
 		panic(http.ErrAbortHandler)
@@ -135,8 +144,20 @@
 	return true
 }
 
-// run sends the request until it has its final answer.
-func (x *exchange) run() {
+// readWithin reads the body in the time that the request may take.
+func (x *exchange) readWithin(limit int64) ([]byte, error) {
+	if err := setBodyDeadline(x.r, x.record.Started.Add(x.wait())); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err != nil {
+		return nil, err // the deadline stays, for the server reads what is left of the body before it closes the connection
+	}
+	return body, setBodyDeadline(x.r, time.Time{})
+}
+
+// wait returns the time that the request may take.
+func (x *exchange) wait() time.Duration {
 	wait := x.route.Timeout
 	if wait <= 0 {
 		wait = defaultWait
@@ -144,7 +165,12 @@
 	if x.call.Wait > 0 {
 		wait = min(wait, x.call.Wait)
 	}
-	x.expires = x.record.Started.Add(wait)
+	return wait
+}
+
+// run sends the request until it has its final answer.
+func (x *exchange) run() {
+	x.expires = x.record.Started.Add(x.wait())
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.expires)
 	defer cancel()
 	x.ctx = ctx
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -23,12 +23,8 @@
 )
 
 const (
-	// readHeaderTimeout bounds the headers of callers before a configuration states a limit.
+	// readHeaderTimeout bounds the headers of requests for readiness and metrics.
 	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is above the time for which callers keep idle connections.
-	idleTimeout = 60 * time.Second
-	// maxHeaderBytes is above the limits that configurations state.
-	maxHeaderBytes = 64 << 10
 	// sweepInterval is the time between two rounds of upkeep.
 	sweepInterval = 250 * time.Millisecond
 	// leaveRotation is the time in which the platform stops sending new connections to a process that is not ready: two
@@ -104,7 +100,7 @@
 	e.fleet.Register(server)
 	work := e.callerServer()
 	group, failed := errgroup.WithContext(ctx)
-	group.Go(func() error { return ended(work.Serve(callers)) })
+	group.Go(func() error { return ended(work.Serve(gateway.Listener(callers, e.limits))) })
 	readiness := &http.Server{Handler: e.adapters.Ready(e.isReady), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = readiness.Serve(ready) }() // ends with the process
 	go func() { _ = server.Serve(background, control) }()
@@ -128,13 +124,20 @@
 }
 
 func (e *entry) callerServer() *http.Server {
-	return &http.Server{
-		Handler: &gateway.Gateway{
-			Dialect: e.adapters.Dialect, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-			Pool: e.pool, Observe: e.observe, Closing: e.stopping.Load,
-		},
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog,
+	server := gateway.NewServer(&gateway.Gateway{
+		Dialect: e.adapters.Dialect, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
+		Pool: e.pool, Observe: e.observe, Closing: e.stopping.Load,
+	})
+	server.ErrorLog = serverLog
+	return server
+}
+
+// limits returns the limits of the present configuration, or none before there is one.
+func (e *entry) limits() routetable.Limits {
+	if t := e.tables.Load(); t != nil {
+		return t.Config.Limits
 	}
+	return routetable.Limits{}
 }
 
 // observe records a request that has ended.
