Log what an entry comes to believe of targets and groups

A target that is avoided after failures or used again, and a group that closes, opens, goes silent or answers again, each get one line and a counter. The line of a request names the group of each target.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -74,6 +74,9 @@
 // Balancer tracks the load and the health of targets. It is safe for concurrent use.
 type Balancer struct {
 	Local string // data centre of this process
+	// Notify is told each change of what is believed of targets and groups. It must neither block nor call the balancer.
+	// It may be nil, and must not be changed once the balancer is in use.
+	Notify func(Event)
 
 	mu      sync.Mutex
 	now     func() time.Time
@@ -135,7 +138,7 @@
 			continue
 		}
 		g := b.groupOf(t, now)
-		if g != nil && !g.report.Open || b.progressOf(t.Addr).stalled(now, gapOf(job)) {
+		if g != nil && !g.report.Open || b.stalled(t.Addr, now, gapOf(job)) {
 			continue
 		}
 		reason = ReasonFull
@@ -220,10 +223,10 @@
 	defer l.b.mu.Unlock()
 	l.s.own--
 	if l.progress != nil {
-		l.progress.ended()
+		l.progress.running--
 	}
 	now := l.b.now()
-	l.s.health.done(r, now)
+	l.b.judge(l.Target.ID, &l.s.health, r, now)
 	l.b.queue(l.service).freed(now)
 	l.b.dispatch()
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,3 +308,41 @@
 		}
 	})
 }
+
+// TestBeliefsAreTold guards against changes of what is believed of targets and groups that leave no trace, and against a
+// line for each request instead of one for each change.
+func TestBeliefsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		var told []EventKind
+		b.Notify = func(e Event) { told = append(told, e.Kind) }
+		list := engines(1)
+		job := modelJob(list)
+		report := groupReport("g", 1, list, 1.1)
+		report.Open = false
+		b.Group(report)
+		report.Seq, report.Open = 2, true
+		b.Group(report)
+		end := func(r Result) {
+			l, refused := b.Acquire(context.Background(), job)
+			if refused != nil {
+				t.Fatal(refused)
+			}
+			l.Done(r)
+		}
+		end(Broken)
+		end(Broken)
+		time.Sleep(firstBackoff)
+		end(Served)
+		silent, _ := b.Acquire(context.Background(), job)
+		time.Sleep(time.Second)
+		for range 3 {
+			fill(b, job)
+		}
+		silent.Event(0)
+		want := []EventKind{EventClosed, EventOpened, EventAvoided, EventUsed, EventSilent, EventAnswers}
+		if !slices.Equal(told, want) {
+			t.Errorf("told %v, want %v", told, want)
+		}
+	})
+}
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -49,6 +49,13 @@
 	if g != nil && (r.Term < g.report.Term || r.Term == g.report.Term && r.Seq <= g.report.Seq) && b.now().Sub(g.at) < groupAge {
 		return
 	}
+	if was := g == nil || g.report.Open; was != r.Open {
+		kind := EventClosed
+		if r.Open {
+			kind = EventOpened
+		}
+		b.notify(Event{Kind: kind, Group: r.Name})
+	}
 	g = &group{report: r, at: b.now()}
 	b.groups[r.Name] = g
 	for _, rank := range r.Ranks {
@@ -59,6 +66,14 @@
 	b.dispatch()
 }
 
+// Group returns the name of the target's engine group, or nothing if no report named it.
+func (l *Lease) Group() string {
+	if l.progress == nil {
+		return ""
+	}
+	return l.progress.group
+}
+
 // groupOf returns the group of a target, or nil if it is unknown or its report is old.
 func (b *Balancer) groupOf(t *targetset.Target, now time.Time) *group {
 	g := b.engines[t.Addr]
--- a/internal/balance/progress.go
+++ b/internal/balance/progress.go
@@ -13,9 +13,11 @@
 
 // progress tells whether an engine group answers at all, from the events of this process's own requests.
 type progress struct {
+	group   string
 	running int       // requests in flight from this process
 	last    time.Time // last event, or start of the first request in flight
 	trial   time.Time // last request that was sent in spite of a stall
+	told    bool      // the silence was told
 }
 
 func (p *progress) began(now time.Time, gap time.Duration) {
@@ -28,17 +30,21 @@
 	p.running++
 }
 
-func (p *progress) event(now time.Time) { p.last = now }
-
-func (p *progress) ended() { p.running-- }
-
 func (p *progress) silent(now time.Time, gap time.Duration) bool {
 	return p.running > 0 && now.Sub(p.last) > stallGaps*gap
 }
 
-// stalled says whether the group should get no request now.
-func (p *progress) stalled(now time.Time, gap time.Duration) bool {
-	return p != nil && p.silent(now, gap) && now.Sub(p.trial) < stallTrial
+// stalled says whether the group of a target should get no request now.
+func (b *Balancer) stalled(addr string, now time.Time, gap time.Duration) bool {
+	p := b.progressOf(addr)
+	if p == nil || !p.silent(now, gap) {
+		return false
+	}
+	if !p.told {
+		p.told = true
+		b.notify(Event{Kind: EventSilent, Group: p.group, Age: now.Sub(p.last)})
+	}
+	return now.Sub(p.trial) < stallTrial
 }
 
 // progressOf returns the progress of a target's group, or nil if no report ever named the group. An old report still tells
@@ -50,19 +56,28 @@
 	}
 	p := b.progress[g.report.Name]
 	if p == nil {
-		p = &progress{}
+		p = &progress{group: g.report.Name}
 		b.progress[g.report.Name] = p
 	}
 	return p
 }
 
+// answered takes in an event of a group.
+func (b *Balancer) answered(p *progress, now time.Time) {
+	if p.told {
+		p.told = false
+		b.notify(Event{Kind: EventAnswers, Group: p.group, Age: now.Sub(p.last)})
+	}
+	p.last = now
+}
+
 // Event tells that the target has sent an event of the request's stream, and the pause before it, or 0 for the first one.
 func (l *Lease) Event(pause time.Duration) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	now := l.b.now()
 	if l.progress != nil {
-		l.progress.event(now)
+		l.b.answered(l.progress, now)
 	}
 	if pause > 0 {
 		l.s.pause, l.s.paused = pause, now
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,7 +37,7 @@
 	started := time.Now()
 	result, err := x.send(lease)
 	lease.Done(result.health)
-	x.record.Tries = append(x.record.Tries, Try{Target: t.ID, Started: started.Sub(x.record.Started), Took: time.Since(started),
+	x.record.Tries = append(x.record.Tries, Try{Target: t.ID, Group: lease.Group(), Started: started.Sub(x.record.Started), Took: time.Since(started),
 		Result: result.name, Err: err})
 	if result.final {
 		return false
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -37,6 +37,7 @@
 // Try is one attempt at a target.
 type Try struct {
 	Target  string
+	Group   string        // of the target; empty if it is unknown
 	Started time.Duration // since the start of the request
 	Took    time.Duration
 	Result  string
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -21,6 +21,7 @@
 	Platform   = expvar.NewMap("platform_events_total")    // changes of what the process knows from the platform, by kind
 	Peers      = expvar.NewMap("peer_events_total")        // changes of what the process knows from peers, by kind
 	Groups     = expvar.NewMap("group_events_total")       // decisions about the engine group, by kind
+	Balance    = expvar.NewMap("balance_events_total")     // changes of what the process believes of targets and groups
 	Gauges     = expvar.NewMap("gauge")                    // present values
 	Loads      = expvar.NewInt("experts_loaded_total")     // by all ranks of the groups that this process coordinates
 	FirstByte  = newHistogram("first_byte_seconds")        // until the head of the answer went to the caller
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/camphorbank/camphorbank/internal/balance"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
@@ -49,7 +50,11 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		b.WriteString(t.Target + ":" + t.Result + ":" + t.Started.String() + "+" + t.Took.String())
+		b.WriteString(t.Target)
+		if t.Group != "" {
+			b.WriteString("@" + t.Group)
+		}
+		b.WriteString(":" + t.Result + ":" + t.Started.String() + "+" + t.Took.String())
 		if t.Err != nil {
 			b.WriteString("(" + t.Err.Error() + ")")
 		}
@@ -81,6 +86,25 @@
 	log.WithFields(f).Info("fleet")
 }
 
+// logBalance writes what an entry has come to believe of a target or a group.
+func logBalance(e balance.Event) {
+	metrics.Balance.Add(string(e.Kind), 1)
+	f := log.Fields{"event": e.Kind}
+	if e.Target != "" {
+		f["target"] = e.Target
+	}
+	if e.Group != "" {
+		f["group"] = e.Group
+	}
+	if e.Backoff > 0 {
+		f["weight"], f["backoff"] = e.Weight, e.Backoff
+	}
+	if e.Age > 0 {
+		f["age"] = e.Age
+	}
+	log.WithFields(f).Info("balance")
+}
+
 func logReady(ready bool, config, revision int64, stopping bool) {
 	log.WithFields(log.Fields{"ready": ready, "config": config, "list": revision, "stopping": stopping}).Info("readiness")
 }
