Soak the processes beside ranks, with a group of engines on the platform's wire

The stand-in of an engine group moves out of the tests of the map switch, so that the soak serves it over HTTP: orders that stay unanswered and are carried out late, a group that breaks, and processes of ranks that are killed, frozen and restarted. A pass with two maps fails the run, and so does a group that makes no passes after the last fault.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -77,6 +77,9 @@
 	// Notify is told each change of what is believed of targets and groups. It must neither block nor call the balancer.
 	// It may be nil, and must not be changed once the balancer is in use.
 	Notify func(Event)
+	// Connected says whether a connection to a target's address is idle. It may be nil, and must not be changed once the
+	// balancer is in use.
+	Connected func(addr string) bool
 
 	mu      sync.Mutex
 	now     func() time.Time
@@ -121,6 +124,8 @@
 	peerAge = 2 * time.Second
 	// farPenalty is the time by which a target in another data centre is taken for slower.
 	farPenalty = 2 * time.Millisecond
+	// connectPenalty is the time by which a target is taken for slower to which a connection must be opened first.
+	connectPenalty = 2 * time.Millisecond
 	// spread is the part of the score that is drawn at random, so that entries with the same view choose differently.
 	spread = 0.05
 )
@@ -163,10 +168,7 @@
 // score predicts how slow a target is with one more request, in seconds. ok is false if it has no place.
 func (b *Balancer) score(t *targetset.Target, job *Job, g *group, l *load, now time.Time) (float64, bool) {
 	n := b.inFlight(t, now)
-	far := time.Duration(0)
-	if t.DataCentre != b.Local {
-		far = farPenalty
-	}
+	far := b.distance(t)
 	e := job.engine()
 	if e == nil {
 		if n >= t.Slots+int(queueShare*float64(t.Slots)) {
@@ -190,6 +192,18 @@
 	return (pass + far).Seconds() * (1 + rand.Float64()*spread), true
 }
 
+// distance is the time by which a target is slower because of where it is and how it is connected.
+func (b *Balancer) distance(t *targetset.Target) time.Duration {
+	d := time.Duration(0)
+	if t.DataCentre != b.Local {
+		d += farPenalty
+	}
+	if b.Connected != nil && !b.Connected(t.Addr) {
+		d += connectPenalty
+	}
+	return d
+}
+
 func gapOf(job *Job) time.Duration {
 	if job.EventGap > 0 {
 		return job.EventGap
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -60,7 +60,7 @@
 		peers: &peer.Pool{Idle: peerIdle}, records: decision.NewRing(keptRecords)}
 	e.shared.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
-	e.balance.Notify = logBalance
+	e.balance.Notify, e.balance.Connected = logBalance, e.pool.Idle
 	e.retries = retry.NewFleet(allowance(s.Bounds), s.FirstStart, time.Now)
 	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logList}
 	e.fleet = fleet.New(fleet.Options{
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -9,32 +9,33 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/test/standin/expertgroup"
 )
 
 // testFleet runs coordinators over one group, and counts what they did.
 type testFleet struct {
 	t        *testing.T
-	g        *fakeGroup
+	g        *expertgroup.Group
 	agents   []*Agent
 	switched atomic.Int64
 }
 
 func newTestFleet(t *testing.T, seed uint64) *testFleet {
-	g := newFakeGroup(rand.New(rand.NewPCG(seed, 1)))
-	g.trace = func(string, ...any) {}
+	g := newTestGroup(rand.New(rand.NewPCG(seed, 1)))
+	g.Trace = func(string, ...any) {}
 	return &testFleet{t: t, g: g, agents: newAgents(g)}
 }
 
 // coordinate runs a coordinator of the rank until ctx ends.
 func (f *testFleet) coordinate(ctx context.Context, rank int, active func() bool, cut func(int) bool) {
 	c := NewCoordinator(Options{
-		Rank: rank, Size: testRanks, Ranks: newFakeLinks(f.g, f.agents, rank, cut), Now: today, Active: active,
+		Rank: rank, Size: testRanks, Ranks: newTestLinks(f.g, f.agents, rank, cut), Now: today, Active: active,
 		Engine: func() *routetable.Engine { return testEngine }, Tell: func(Report) {},
 		Notify: func(e Event) {
 			if e.Kind == EventSwitched {
 				f.switched.Add(1)
 			}
-			f.g.trace("coordinator of rank %d: %+v", rank, e)
+			f.g.Trace("coordinator of rank %d: %+v", rank, e)
 		},
 	})
 	c.Run(ctx)
@@ -51,10 +52,8 @@
 
 func (f *testFleet) check(seed uint64) {
 	f.t.Helper()
-	f.g.mu.Lock()
-	defer f.g.mu.Unlock()
-	if f.g.broken != nil {
-		f.t.Errorf("seed %d: %v", seed, f.g.broken)
+	if err := f.g.Broken(); err != nil {
+		f.t.Errorf("seed %d: %v", seed, err)
 	}
 }
 
@@ -66,19 +65,17 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
 		go f.coordinate(ctx, 0, always, never)
-		go f.g.run(ctx)
+		go f.g.Run(ctx)
 		time.Sleep(8 * time.Second)
-		f.g.mu.Lock()
-		f.g.hot = 4
-		f.g.mu.Unlock()
+		f.g.SetHot(4)
 		<-ctx.Done()
 		time.Sleep(time.Second)
 		f.check(1)
 		if n := f.switched.Load(); n < 2 {
 			t.Errorf("%d switches, want one for each popularity at least", n)
 		}
-		if f.g.stalled > 0 {
-			t.Errorf("the group was held for %v", f.g.stalled)
+		if d := f.g.Stalled(); d > 0 {
+			t.Errorf("the group was held for %v", d)
 		}
 	})
 }
@@ -94,7 +91,7 @@
 	for seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(t, seed)
-			f.g.late = lateShare(seed)
+			f.g.Late = lateShare(seed)
 			f.disturb(seed, 40*time.Second)
 			f.check(seed)
 			switched += f.switched.Load()
@@ -110,7 +107,7 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	ctx, cancel := context.WithTimeout(context.Background(), span)
 	defer cancel()
-	go f.g.run(ctx)
+	go f.g.Run(ctx)
 	go f.shift(ctx, rand.New(rand.NewPCG(seed, 3)))
 	for ctx.Err() == nil {
 		life := time.Duration(300+rng.IntN(6000)) * time.Millisecond
@@ -135,22 +132,18 @@
 func (f *testFleet) shift(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(1000+rng.IntN(3000)) * time.Millisecond)
-		f.g.mu.Lock()
-		f.g.hot = rng.IntN(testExperts - 1)
-		r := f.g.ranks[rng.IntN(testRanks)]
-		r.away = rng.IntN(4) == 0
+		f.g.SetHot(rng.IntN(testExperts - 1))
+		r := f.g.Ranks[rng.IntN(testRanks)]
+		r.SetAway(rng.IntN(4) == 0)
 		breaks := rng.IntN(8) == 0
 		if breaks {
-			f.g.open = false
+			f.g.Break()
 		}
-		f.g.mu.Unlock()
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		f.g.mu.Lock()
-		r.away = false
+		r.SetAway(false)
 		if breaks {
-			f.g.form()
+			f.g.Form()
 		}
-		f.g.mu.Unlock()
 	}
 }
 
@@ -159,19 +152,33 @@
 func TestHoldOfKilledCoordinatorEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 7)
-		held := f.g.step + 3
-		f.g.ranks[0].held = &held
-		f.g.ranks[1].prepared = &fakeMap{version: 1, experts: f.g.ranks[1].experts, ready: time.Now()}
-		f.g.ranks[1].armed = &fakeMap{version: 1, step: held, experts: f.g.ranks[1].experts}
+		held := f.g.Step() + 3
+		same := make([][][]int, testLayers)
+		for l := range same {
+			for _, r := range f.g.Ranks {
+				same[l] = append(same[l], r.Experts()[l])
+			}
+		}
+		for rank, orders := range map[int][]expertgroup.Order{
+			0: {{Operation: expertgroup.Hold, Step: held}},
+			1: {{Operation: expertgroup.Prepare, Version: 1, Map: same}, {Operation: expertgroup.Arm, Version: 1, Step: held}},
+		} {
+			for _, o := range orders {
+				o.Epoch = f.g.Ranks[rank].Status().Epoch
+				if err := f.g.Ranks[rank].CarryOut(o); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		go f.g.run(ctx)
+		go f.g.Run(ctx)
 		time.Sleep(time.Second)
 		go f.coordinate(ctx, 0, always, never)
 		<-ctx.Done()
 		time.Sleep(time.Second)
 		f.check(7)
-		if f.g.step < held {
+		if f.g.Step() < held {
 			t.Errorf("the group still waits before pass %d", held)
 		}
 	})
@@ -184,11 +191,9 @@
 	for seed := uint64(0); seed < 400 && broken == 0; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(t, seed)
-			f.g.late, f.g.unfenced = 0.35, true
+			f.g.Late, f.g.Unfenced = 0.35, true
 			f.disturb(seed, 40*time.Second)
-			f.g.mu.Lock()
-			defer f.g.mu.Unlock()
-			if f.g.broken != nil {
+			if f.g.Broken() != nil {
 				broken++
 			}
 		})
--- a/internal/rankgroup/trace_test.go
+++ b/internal/rankgroup/trace_test.go
@@ -16,12 +16,10 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, seed)
-		f.g.late = lateShare(seed)
+		f.g.Late = lateShare(seed)
 		start := time.Now()
-		f.g.trace = func(format string, args ...any) {
-			if f.g.broken == nil {
-				t.Logf("%8s "+format, append([]any{time.Since(start)}, args...)...)
-			}
+		f.g.Trace = func(format string, args ...any) {
+			t.Logf("%8s "+format, append([]any{time.Since(start)}, args...)...)
 		}
 		f.disturb(seed, 40*time.Second)
 		f.check(seed)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -136,11 +136,11 @@
 // take returns an idle connection that was used within maxIdle, or a new one.
 func (p *Pool) take(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, maxIdle)
 		if c == nil {
 			break
 		}
-		if time.Since(c.since) < min(maxIdle, c.idleFor) && c.usable() {
+		if time.Since(c.since) < c.idleFor && c.usable() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -155,8 +155,8 @@
 	return newConn(addr, nc), nil
 }
 
-// pop removes the connection that was used last.
-func (p *Pool) pop(addr string) *conn {
+// pop removes the connection that was used last, if it was used within maxIdle. Others stay for requests that accept them.
+func (p *Pool) pop(addr string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
@@ -164,10 +164,20 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if time.Since(c.since) >= maxIdle {
+		return nil
+	}
 	p.set(addr, list[:len(list)-1])
 	return c
 }
 
+// Idle says whether a connection to a target is idle.
+func (p *Pool) Idle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 func (p *Pool) set(addr string, list []*conn) {
 	if len(list) == 0 {
 		delete(p.idle, addr)
--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -51,7 +51,7 @@
 	all.Wait()
 }
 
-func (c *client) draw() (route, *entryNode) {
+func (c *client) draw() (route, *node) {
 	r := routes[c.rng.IntN(len(routes))]
 	if v := c.world.published(); v > 1 && c.rng.Float64() < probeShare {
 		r = versionRoute(v)
@@ -60,7 +60,7 @@
 }
 
 // request sends one request to an entry and records how it ends.
-func (c *client) request(r route, e *entryNode) *call {
+func (c *client) request(r route, e *node) *call {
 	n := c.ids.Add(1)
 	account := []string{"one", "two"}[n%2]
 	out := &call{ID: fmt.Sprintf("q-%d", n), Route: r, Account: account, Body: strings.Repeat("b", 1+int(n%maxBody)), Entry: e.name,
@@ -73,7 +73,7 @@
 	return out
 }
 
-func (c *client) send(out *call, e *entryNode) {
+func (c *client) send(out *call, e *node) {
 	ctx, cancel := context.WithTimeout(context.Background(), out.Route.Timeout+clientPatience)
 	defer cancel()
 	// The standard client cannot repeat a body that it cannot read again, so that each request is sent once.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -16,6 +16,8 @@
 	longestFault = 2500 * time.Millisecond
 	// series is the most faults of one kind that follow each other without a pause.
 	series = 3
+	// lateShare is the share of orders that are carried out late while that fault is in force.
+	lateShare = 0.35
 )
 
 // fault brings one fault about and ends it. It is called on a goroutine of its own.
@@ -42,6 +44,9 @@
 	{"manner", false, (*world).misbehave},
 	{"leave", true, (*world).replace},
 	{"crash", false, (*world).crash},
+	{"group", false, (*world).breakGroup},
+	{"popularity", true, func(w *world, rng *rand.Rand) { w.group.SetHot(rng.IntN(groupExperts - 1)) }},
+	{"late orders", false, (*world).lateOrders},
 	{"configuration", true, func(w *world, _ *rand.Rand) { w.publish() }},
 }
 
@@ -69,11 +74,19 @@
 
 func span(rng *rand.Rand) time.Duration { return time.Duration(rng.Int64N(int64(longestFault))) }
 
-func (w *world) entry(rng *rand.Rand) *entryNode { return w.entries[rng.IntN(len(w.entries))] }
+func (w *world) entry(rng *rand.Rand) *node { return w.entries[rng.IntN(len(w.entries))] }
 
-// restart ends an entry with a signal and starts it again after a while.
+// node draws an entry, or with the same chance a process beside a rank.
+func (w *world) node(rng *rand.Rand) *node {
+	if rng.IntN(2) == 0 {
+		return w.ranks[rng.IntN(len(w.ranks))]
+	}
+	return w.entry(rng)
+}
+
+// restart ends a process with a signal and starts it again after a while.
 func (w *world) restart(rng *rand.Rand, s syscall.Signal, planned bool) {
-	e := w.entry(rng)
+	e := w.node(rng)
 	if !e.busy.TryLock() {
 		return
 	}
@@ -86,14 +99,14 @@
 	w.awaitReady(e)
 }
 
-func (w *world) awaitReady(e *entryNode) {
+func (w *world) awaitReady(e *node) {
 	for end := time.Now().Add(longestFault); time.Now().Before(end) && !e.isReady(); {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
 func (w *world) freeze(rng *rand.Rand) {
-	e := w.entry(rng)
+	e := w.node(rng)
 	if !e.busy.TryLock() {
 		return
 	}
@@ -109,7 +122,7 @@
 }
 
 func (w *world) reload(rng *rand.Rand) {
-	e := w.entry(rng)
+	e := w.node(rng)
 	if !e.busy.TryLock() {
 		return
 	}
@@ -187,7 +200,7 @@
 		return
 	}
 	end := w.ledger.begin("leave of "+old.id, true)
-	w.join(old.service)
+	w.join(old.service, nil)
 	w.leave(old, rng.IntN(3) > 0)
 	time.Sleep(drainBound)
 	end()
@@ -206,5 +219,25 @@
 	r.close()
 	time.Sleep(targetLease)
 	w.store.Delete("servers/" + r.id)
-	w.join(r.service)
+	w.join(r.service, nil)
+}
+
+// breakGroup lets the group lose a rank for a while.
+func (w *world) breakGroup(rng *rand.Rand) {
+	if !w.groupBusy.TryLock() {
+		return
+	}
+	defer w.groupBusy.Unlock()
+	defer w.ledger.begin("group", false)()
+	w.group.Break()
+	time.Sleep(span(rng))
+	w.group.Form()
+}
+
+// lateOrders leaves orders to the engines unanswered, and carries them out later.
+func (w *world) lateOrders(rng *rand.Rand) {
+	defer w.ledger.begin("late orders", false)()
+	w.group.SetLate(lateShare)
+	time.Sleep(span(rng))
+	w.group.SetLate(0)
 }
--- a/test/soak/runner_test.go
+++ b/test/soak/runner_test.go
@@ -1,10 +1,12 @@
 package soak_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/camphorbank/camphorbank/test/faultproxy"
+	"github.com/camphorbank/camphorbank/test/standin/expertgroup"
 	"github.com/camphorbank/camphorbank/test/standin/target"
 )
 
@@ -36,6 +39,8 @@
 	eventPause = 20 * time.Millisecond
 	slowPause  = 300 * time.Millisecond
 	maxEvents  = 25
+	// callTime is the time after which a call to an engine that stays unanswered ends.
+	callTime = 500 * time.Millisecond
 )
 
 // runner is one target behind a link that can fail.
@@ -43,6 +48,7 @@
 	id, service string
 	world       *world
 	target      *target.Target
+	rank        *expertgroup.Rank // nil outside of the group
 	link        *faultproxy.Link
 	manner      atomic.Int32
 	running     atomic.Int32
@@ -51,11 +57,11 @@
 }
 
 // join starts a target and puts it on the platform's list.
-func (w *world) join(service string) *runner {
+func (w *world) join(service string, rank *expertgroup.Rank) *runner {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.named++
-	r := &runner{id: fmt.Sprintf("i-%d", w.named), service: service, world: w, listed: true}
+	r := &runner{id: fmt.Sprintf("i-%d", w.named), service: service, world: w, rank: rank, listed: true}
 	var err error
 	if r.target, err = target.Start(r.answer); err != nil {
 		w.t.Fatal(err)
@@ -99,6 +105,9 @@
 
 // answer runs one request in the present manner.
 func (r *runner) answer(c net.Conn, a target.Arrival) bool {
+	if strings.HasPrefix(a.URI, "/-/") {
+		return r.engine(c, a)
+	}
 	id := a.Header.Get(target.HeaderID)
 	m := manner(r.manner.Load())
 	resume, _ := strconv.Atoi(a.Header.Get("Last-Event-Id"))
@@ -107,7 +116,7 @@
 		Account: a.Header.Get("X-Camphorbank-Tenant-Id"), Left: time.Duration(ms) * time.Millisecond}
 	busy := r.running.Add(1)
 	defer r.running.Add(-1)
-	if seen.RefusedUnstarted = m == full || busy > 2*slots; seen.RefusedUnstarted {
+	if seen.RefusedUnstarted = m == full || busy > 2*slots || r.rank != nil && !r.rank.Status().Open; seen.RefusedUnstarted {
 		r.world.ledger.ran(id, seen)
 		return target.Full()(c, a)
 	}
@@ -132,6 +141,28 @@
 	return keep
 }
 
+// engine serves a call to the engine itself.
+func (r *runner) engine(c net.Conn, a target.Arrival) (keep bool) {
+	if r.rank == nil {
+		return target.Answer(http.StatusNotFound, "")(c, a)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), callTime)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, a.Method, a.URI, strings.NewReader(a.Body))
+	if err != nil {
+		return false
+	}
+	defer func() {
+		if recover() != nil {
+			keep = false // the call stays unanswered
+		}
+	}()
+	out := httptest.NewRecorder()
+	r.rank.ServeHTTP(out, req)
+	_, err = fmt.Fprintf(c, "HTTP/1.1 %d .\r\nContent-Length: %d\r\n\r\n%s", out.Code, out.Body.Len(), out.Body)
+	return err == nil
+}
+
 func (r *runner) write(c net.Conn, id string, length int, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s",
 		target.HeaderID, id, target.HeaderStamp, length, body)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -101,10 +101,15 @@
 	faulty, end := context.WithTimeout(ctx, *length)
 	defer end()
 	w.disturb(faulty)
+	before := w.group.Step()
 	time.Sleep(recovery)
+	if w.group.Step() <= before+int64(recovery/groupPass)/2 {
+		t.Errorf("the group made %d passes in the %v after the last fault", w.group.Step()-before, recovery)
+	}
 	w.probeRecovery(seed)
 	stop()
 	load.Wait()
+	w.checkGroup()
 	for _, f := range w.ledger.check() {
 		t.Error(f)
 	}
@@ -135,6 +140,16 @@
 	}
 }
 
+// checkGroup checks that no pass of the group had two maps, and that the map was changed at all.
+func (w *world) checkGroup() {
+	if err := w.group.Broken(); err != nil {
+		w.t.Error(err)
+	}
+	if w.group.Switches() == 0 {
+		w.t.Error("no change of the map: the run shows nothing of it")
+	}
+}
+
 func (w *world) summary() {
 	served, refused, broken := 0, 0, 0
 	w.ledger.locked(func() {
@@ -149,7 +164,8 @@
 			}
 		}
 	})
-	w.t.Logf("%d served, %d answered otherwise, %d without an answer; %d configurations", served, refused, broken, w.published())
+	w.t.Logf("%d served, %d answered otherwise, %d without an answer; %d configurations, %d changes of the map", served, refused, broken,
+		w.published(), w.group.Switches())
 }
 
 // keepLogs writes what all processes of the run wrote.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -1,9 +1,11 @@
 package soak_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,13 +17,14 @@
 	"github.com/camphorbank/camphorbank/internal/localfleet"
 	"github.com/camphorbank/camphorbank/platform"
 	"github.com/camphorbank/camphorbank/test/faultproxy"
+	"github.com/camphorbank/camphorbank/test/standin/expertgroup"
 	"github.com/camphorbank/camphorbank/test/standin/store"
 )
 
 // Size of the world of a run, and the promises of its deployment.
 const (
 	entryCount  = 3
-	draftCount  = 4 // targets of the service with streams
+	rankCount   = 4 // engines of the service with streams, which form one group
 	deskCount   = 3
 	slots       = 8
 	drainBound  = 2 * time.Second
@@ -32,6 +35,11 @@
 	retryWindow = 10 * time.Second
 	// calmWindow is the time after a disturbance in which bounds of time do not hold yet.
 	calmWindow = 3 * time.Second
+	// Size of the group's maps, time of a pass, and time in which a rank loads an expert.
+	groupLayers  = 2
+	groupExperts = 8
+	groupPass    = 20 * time.Millisecond
+	groupLoad    = 40 * time.Millisecond
 	// targetLease is the time without a sign of life after which the platform drops a target from its list.
 	targetLease = 3 * time.Second
 )
@@ -56,11 +64,16 @@
 		Version: version}
 }
 
-// entryNode is one entry with what lies between it and its neighbours.
-type entryNode struct {
-	name, callers, ready, control string
-	settings                      string
-	store                         *faultproxy.Link
+// node is one process of camphorbank with what lies between it and its neighbours.
+type node struct {
+	name     string
+	settings string
+	// Of an entry:
+	callers, ready, control string
+	store                   *faultproxy.Link
+	// Of a process beside a rank:
+	engine string // address
+	port   string
 
 	mu       sync.Mutex
 	process  *localfleet.Process
@@ -76,7 +89,9 @@
 	ledger  *ledger
 	fleet   *localfleet.Fleet
 	store   *store.Store
-	entries []*entryNode
+	entries []*node
+	ranks   []*node
+	group   *expertgroup.Group
 	mu      sync.Mutex
 	runners []*runner
 	named   int
@@ -84,24 +99,23 @@
 
 	plannedOnly bool       // only what operators do, so that nothing excuses a request that is cut off
 	storeBusy   sync.Mutex // held while a fault of the store is in force
+	groupBusy   sync.Mutex // held while the group is broken
 }
 
 func newWorld(t *testing.T, bin string, rng *rand.Rand) *world {
 	w := &world{t: t, rng: rng, ledger: newLedger(), fleet: &localfleet.Fleet{Dir: t.TempDir(), Bin: bin}, store: store.Start()}
 	t.Cleanup(w.close)
 	w.publish()
-	for range draftCount {
-		w.join("draft")
-	}
+	w.startGroup()
 	for range deskCount {
-		w.join("desk")
+		w.join("desk", nil)
 	}
 	for i := range entryCount {
 		w.entries = append(w.entries, w.newEntry(fmt.Sprintf("e%d", i+1)))
 	}
-	for _, e := range w.entries {
-		w.writeSettings(e, true)
-		w.start(e)
+	for _, n := range w.nodes() {
+		w.writeSettings(n, true)
+		w.start(n)
 	}
 	for _, e := range w.entries {
 		if err := localfleet.WaitFor(e.name+" ready", e.isReady); err != nil {
@@ -112,10 +126,10 @@
 }
 
 func (w *world) close() {
-	for _, e := range w.entries {
-		e.mu.Lock()
-		e.expected = true
-		e.mu.Unlock()
+	for _, n := range w.nodes() {
+		n.mu.Lock()
+		n.expected = true
+		n.mu.Unlock()
 	}
 	if err := w.fleet.Stop(); err != nil {
 		w.t.Error(err)
@@ -129,8 +143,8 @@
 	w.store.Close()
 }
 
-func (w *world) newEntry(name string) *entryNode {
-	e := &entryNode{name: name, settings: filepath.Join(w.fleet.Dir, name+".toml")}
+func (w *world) newEntry(name string) *node {
+	e := &node{name: name, settings: filepath.Join(w.fleet.Dir, name+".toml")}
 	link, err := faultproxy.New(w.store.Addr())
 	if err != nil {
 		w.t.Fatal(err)
@@ -144,22 +158,50 @@
 	return e
 }
 
-func (w *world) writeSettings(e *entryNode, first bool) {
+// startGroup starts the engines of one group, and prepares the processes beside them.
+func (w *world) startGroup() {
+	w.group = expertgroup.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), expertgroup.Shape{
+		Ranks: rankCount, Layers: groupLayers, Experts: groupExperts, Pass: groupPass, Load: groupLoad,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	w.t.Cleanup(stop)
+	go w.group.Run(ctx)
+	for i := range rankCount {
+		r := w.join("draft", w.group.Ranks[i])
+		addr, err := localfleet.Address()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		_, port, err := net.SplitHostPort(addr)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		name := fmt.Sprintf("r%d", i)
+		w.ranks = append(w.ranks, &node{name: name, settings: filepath.Join(w.fleet.Dir, name+".toml"), engine: r.link.Addr(), port: port})
+	}
+}
+
+// nodes returns all processes of camphorbank.
+func (w *world) nodes() []*node { return append(w.entries[:len(w.entries):len(w.entries)], w.ranks...) }
+
+func (w *world) writeSettings(e *node, first bool) {
 	seeds := ""
 	for _, other := range w.entries {
 		seeds += fmt.Sprintf("%q,", other.control)
 	}
+	serves, port, listen := `"front", "control"`, "1", fmt.Sprintf("[listen]\nfrontend = %q\nready = %q\ncontrol_plane = %q", e.callers, e.ready, e.control)
+	if e.engine != "" {
+		serves, port, listen = `"side"`, e.port, ""
+	}
 	text := fmt.Sprintf(`node_name = %q
-serves = ["front", "control"]
+serves = [%s]
 ip = "127.0.0.1"
 zone = "a"
-internal_ports = [1, 2]
+internal_ports = [%s, %s]
 seeds = [%s]
 bootstrap = %v
-[listen]
-frontend = %q
-ready = %q
-control_plane = %q
+app = %q
+%s
 [bounds]
 drain_ms = %d
 grace_s = %g
@@ -169,15 +211,23 @@
 budget_window_s = %g
 [platform]
 address = %q
-`, e.name, seeds, first, e.callers, e.ready, e.control, drainBound.Milliseconds(), graceBound.Seconds(), applyBound.Milliseconds(),
-		retryShare, retrySlack, retryWindow.Seconds(), e.store.Addr())
+`, e.name, serves, port, port, seeds, first, e.engine, listen, drainBound.Milliseconds(), graceBound.Seconds(),
+		applyBound.Milliseconds(), retryShare, retrySlack, retryWindow.Seconds(), w.storeOf(e))
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
 }
 
-// start starts the process of an entry, which must have ended.
-func (w *world) start(e *entryNode) {
+// storeOf returns the address at which a node finds the store.
+func (w *world) storeOf(n *node) string {
+	if n.store == nil {
+		return w.store.Addr()
+	}
+	return n.store.Addr()
+}
+
+// start starts the process of a node, which must have ended.
+func (w *world) start(e *node) {
 	p, err := w.fleet.StartWith([]string{platform.SettingsVariable + "=" + e.settings}, e.name, "camphorbankd", "-platform")
 	if err != nil {
 		w.t.Error(err)
@@ -197,8 +247,8 @@
 	}()
 }
 
-// end ends the process of an entry with a signal, and kills it when the grace is over.
-func (w *world) end(e *entryNode, s syscall.Signal) {
+// end ends the process of a node with a signal, and kills it when the grace is over.
+func (w *world) end(e *node, s syscall.Signal) {
 	e.mu.Lock()
 	e.expected = true
 	p := e.process
@@ -214,13 +264,17 @@
 	}
 }
 
-func (e *entryNode) life() int {
+func (e *node) life() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.lifetime
 }
 
-func (e *entryNode) isReady() bool {
+// isReady says whether an entry is ready. Processes beside ranks have nobody who asks.
+func (e *node) isReady() bool {
+	if e.ready == "" {
+		return true
+	}
 	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + e.ready + "/-/readiness")
 	if err != nil {
 		return false
@@ -243,11 +297,17 @@
 		doc += fmt.Sprintf(`{"name":"r%d","hostname":"h","prefix":%q,"route_kind":%q,"timeout_ms":%d,"target_latency_ms":500,
 			"service":%q,"max_attempts":%d,"stream_resumption":true},`, i, r.Path, r.Kind, r.Timeout.Milliseconds(), r.Service, r.Attempts)
 	}
-	w.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"draft"},{"name":"desk"}],
-		"tenants":[{"name":"one","api_keys":["key-one"]},{"name":"two","api_keys":["key-two"]}]}`, w.version, doc[:len(doc)-1]))
+	w.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"draft","engine":%s},{"name":"desk"}],
+		"tenants":[{"name":"one","api_keys":["key-one"]},{"name":"two","api_keys":["key-two"]}]}`, w.version, doc[:len(doc)-1], engineDoc()))
 	w.ledger.locked(func() { w.ledger.versions[w.version] = time.Now() })
 }
 
+// engineDoc describes the engines of the group in a configuration.
+func engineDoc() string {
+	return fmt.Sprintf(`{"slots":%d,"stride":1,"step_ms":1,"per_seq_ms":0.1,"sets":%d,"experts":%d,"placements":%d,"spare":2,
+		"expert_mb":%g,"link_mbps":1000,"expert_share":0.85}`, slots, groupLayers, groupExperts, groupExperts/2, groupLoad.Seconds()*1000/8)
+}
+
 func (w *world) published() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -262,7 +322,7 @@
 
 var errNone = errors.New("none left")
 
-// pick takes a target out of those that may leave, of a service that keeps at least two.
+// pick takes a target out of those that may leave, if at least two stay.
 func (w *world) pick(rng *rand.Rand) (*runner, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -272,7 +332,7 @@
 			listed[r.service] = append(listed[r.service], r)
 		}
 	}
-	list := listed[[]string{"draft", "desk"}[rng.IntN(2)]]
+	list := listed["desk"] // a group whose rank leaves stalls
 	if len(list) < 3 {
 		return nil, errNone
 	}
