--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -4,8 +4,6 @@
 package fleet
 
 import (
-	"time"
-
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -74,14 +72,13 @@
 
 // GroupState is what the coordinator of a group tells the entries.
 type GroupState struct {
-	Group     string        `json:"g"`
-	Term      int64         `json:"t"` // of the coordinator; higher terms replace lower ones
-	Seq       int64         `json:"q"` // increases within a term
-	Epoch     int64         `json:"e"`
-	Open      bool          `json:"o"`
-	Imbalance float64       `json:"i"` // work of the most loaded rank against the mean, averaged over the layers; 0 if unknown
-	Pass      time.Duration `json:"p"` // time of one pass, as seen lately; 0 if unknown
-	Ranks     []RankState   `json:"r"`
+	Group     string      `json:"g"`
+	Term      int64       `json:"t"` // of the coordinator; higher terms replace lower ones
+	Seq       int64       `json:"q"` // increases within a term
+	Epoch     int64       `json:"e"`
+	Open      bool        `json:"o"`
+	Imbalance float64     `json:"i"` // work of the most loaded rank against the mean, averaged over the layers; 0 if unknown
+	Ranks     []RankState `json:"r"`
 }
 
 // RankState is the state of one rank's engine.
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -183,7 +183,7 @@
 	}
 	r.told = now
 	r.seq++
-	out = fleet.GroupState{Group: self.Group, Term: s.Term, Seq: r.seq, Open: true, Imbalance: s.Imbalance, Pass: s.Pass}
+	out = fleet.GroupState{Group: self.Group, Term: s.Term, Seq: r.seq, Open: true, Imbalance: s.Imbalance}
 	for i, rank := range s.Status {
 		out.Epoch = max(out.Epoch, rank.Epoch)
 		out.Open = out.Open && rank.Open
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -34,9 +34,8 @@
 // Report is the state of the group for those who send it requests.
 type Report struct {
 	Term      int64
-	Status    []Status      // by rank; the zero Status for ranks that did not answer
-	Imbalance float64       // of the map in use, by the estimated popularity; 0 if unknown
-	Pass      time.Duration // time of one pass, as seen lately; 0 if unknown
+	Status    []Status // by rank; the zero Status for ranks that did not answer
+	Imbalance float64  // of the map in use, by the estimated popularity; 0 if unknown
 }
 
 // EventKind names a decision about the group, or a change of what is known of it.
@@ -99,7 +98,6 @@
 	answered []bool
 	pop      *popularity
 	engine   *routetable.Engine
-	pace     passPace
 	encoded  []byte // map of the order that is being given; nil for orders without one
 }
 
@@ -209,9 +207,6 @@
 		}
 		c.count(replies)
 	}
-	if s := c.status[c.opt.Rank]; c.answered[c.opt.Rank] {
-		c.pace.see(s.Step, s.Epoch, s.Active > 0, now)
-	}
 }
 
 // count takes in what was chosen since the last reading.
@@ -332,7 +327,7 @@
 }
 
 func (c *Coordinator) report() Report {
-	r := Report{Term: c.term, Status: slices.Clone(c.status), Pass: c.pace.pass}
+	r := Report{Term: c.term, Status: slices.Clone(c.status)}
 	if c.pop != nil && c.known {
 		if loads, ok := c.pop.loads(); ok {
 			r.Imbalance = expertmap.Imbalance(c.shape(), c.current, loads)
@@ -340,17 +335,3 @@
 	}
 	return r
 }
-
-// passPace observes how long one pass takes.
-type passPace struct {
-	step, epoch int64
-	at          time.Time
-	pass        time.Duration
-}
-
-func (p *passPace) see(step, epoch int64, working bool, now time.Time) {
-	if step > p.step && epoch == p.epoch && working && !p.at.IsZero() {
-		p.pass = now.Sub(p.at) / time.Duration(step-p.step)
-	}
-	p.step, p.epoch, p.at = step, epoch, now
-}
