Send members and ranks between processes only when they change

Each rank got all entries, the ranks of its group and the engine's figures with each reply, once a second, and each report of a group named its ranks. Replies now carry a digest, and a rank that states it gets nothing else; reports name the ranks when they change, and once a second.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -346,3 +346,21 @@
 		}
 	})
 }
+
+// TestBriefReportKeepsRanks guards against engines that lose their group with a report that names no ranks because they are
+// those of the report before, and against ranks of an earlier coordinator that are kept.
+func TestBriefReportKeepsRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(2)
+		b.Group(groupReport("g", 1, list, 1.1))
+		b.Group(GroupReport{Name: "g", Seq: 2, Open: false})
+		if _, r := b.Acquire(context.Background(), modelJob(list)); r == nil {
+			t.Error("a request went to a group that a brief report closed")
+		}
+		b.Group(GroupReport{Name: "g", Term: 1, Seq: 1, Open: true})
+		if g := b.groups["g"]; len(g.report.Ranks) != 0 {
+			t.Errorf("%d ranks of an earlier term are kept", len(g.report.Ranks))
+		}
+	})
+}
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -12,8 +12,8 @@
 	Name      string
 	Term, Seq int64 // a report replaces those with a lower term, or a lower number in the same term
 	Open      bool
-	Imbalance float64 // work of the most loaded rank against the mean; 0 if unknown
-	Ranks     []RankReport
+	Imbalance float64      // work of the most loaded rank against the mean; 0 if unknown
+	Ranks     []RankReport // empty if they are those of the report before, in the same term
 }
 
 // RankReport is the state of one rank.
@@ -49,6 +49,9 @@
 	if g != nil && (r.Term < g.report.Term || r.Term == g.report.Term && r.Seq <= g.report.Seq) && b.now().Sub(g.at) < groupAge {
 		return
 	}
+	if len(r.Ranks) == 0 && g != nil && g.report.Term == r.Term {
+		r.Ranks = g.report.Ranks
+	}
 	if was := g == nil || g.report.Open; was != r.Open {
 		kind := EventClosed
 		if r.Open {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -280,17 +283,26 @@
 	return out, nil
 }
 
-func (f *Fleet) serveRank(_ context.Context, in Rank) (RankReply, error) {
+func (f *Fleet) serveRank(_ context.Context, in RankRequest) (RankReply, error) {
 	f.mu.Lock()
-	f.learnRank(in, time.Now())
+	f.learnRank(in.Rank, time.Now())
 	f.mu.Unlock()
 	entries, ranks := f.members()
-	out := RankReply{Entries: entries, Engine: f.engineOf(in.Engine)}
+	out := RankReply{Entries: entries, Engine: f.engineOf(in.Rank.Engine)}
 	for _, r := range ranks {
 		if r.Group == in.Group {
 			out.Ranks = append(out.Ranks, r)
 		}
 	}
+	content, err := json.Marshal(out)
+	if err != nil {
+		return out, err
+	}
+	digest := xxhash.Sum64(content)
+	if digest == in.Have {
+		return RankReply{Digest: digest}, nil
+	}
+	out.Digest = digest
 	return out, nil
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -68,3 +68,30 @@
 		t.Error("counts of another list are used")
 	}
 }
+
+// TestRankReplyIsSentOnce guards against the members of the fleet that go to every rank each second, which are most of the
+// bytes of a large fleet, and against a rank that misses a change of them.
+func TestRankReplyIsSentOnce(t *testing.T) {
+	f := newTestFleet("c1")
+	client := &RankClient{}
+	register := func(self Rank) RankReply {
+		reply, err := f.serveRank(t.Context(), RankRequest{Rank: self, Have: client.last.Digest})
+		if err != nil {
+			t.Fatal(err)
+		}
+		client.learn("c1", reply)
+		return reply
+	}
+	first := Rank{Name: "r0", Control: "k0", Group: "g", Size: 2}
+	register(first)
+	if again := register(first); len(again.Entries)+len(again.Ranks) > 0 || len(client.last.Ranks) != 1 {
+		t.Errorf("reply %v, kept %v", again, client.last)
+	}
+	second, err := f.serveRank(t.Context(), RankRequest{Rank: Rank{Name: "r1", Control: "k1", Group: "g", Rank: 1, Size: 2}})
+	if err != nil || len(second.Ranks) != 2 {
+		t.Fatal(second, err)
+	}
+	if register(first); len(client.last.Ranks) != 2 {
+		t.Errorf("the rank knows %v", client.last.Ranks)
+	}
+}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -63,11 +63,19 @@
 	Ranks   []Rank             `json:"r,omitempty"`
 }
 
+// RankRequest reports a process beside a rank.
+type RankRequest struct {
+	Rank
+	Have uint64 `json:"h,omitempty"` // Digest of the last reply; 0 for none
+}
+
 // RankReply tells a rank's process whom to speak with.
 type RankReply struct {
 	Entries []Entry            `json:"e"`
 	Ranks   []Rank             `json:"r"` // of the same group
 	Engine  *routetable.Engine `json:"g"` // of the service; nil while it is unknown
+	// Digest tells replies with other contents apart. A reply whose digest the request states holds nothing else.
+	Digest uint64 `json:"d"`
 }
 
 // GroupState is what the coordinator of a group tells the entries.
@@ -77,8 +85,8 @@
 	Seq       int64       `json:"q"` // increases within a term
 	Epoch     int64       `json:"e"`
 	Open      bool        `json:"o"`
-	Imbalance float64     `json:"i"` // work of the most loaded rank against the mean, averaged over the layers; 0 if unknown
-	Ranks     []RankState `json:"r"`
+	Imbalance float64     `json:"i"`           // work of the most loaded rank against the mean, averaged over the layers; 0 if unknown
+	Ranks     []RankState `json:"r,omitempty"` // empty if they are those of the state before, in the same term
 }
 
 // RankState is the state of one rank's engine.
--- a/internal/fleet/rankclient.go
+++ b/internal/fleet/rankclient.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	entries []string // control addresses, the one that answered last first
 	telling map[string]bool
+	last    RankReply // last one with contents
 }
 
 // SetSeeds replaces the seeds.
@@ -27,15 +28,17 @@
 
 // Register reports the rank to one entry and returns the other ranks of its group.
 func (c *RankClient) Register(ctx context.Context, self Rank) (RankReply, error) {
+	c.mu.Lock()
+	request := RankRequest{Rank: self, Have: c.last.Digest}
+	c.mu.Unlock()
 	var err error
 	for _, addr := range c.candidates() {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		var reply RankReply
-		err = c.Pool.Call(call, addr, methodRank, self, &reply)
+		err = c.Pool.Call(call, addr, methodRank, request, &reply)
 		cancel()
 		if err == nil {
-			c.learn(addr, reply.Entries)
-			return reply, nil
+			return c.learn(addr, reply), nil
 		}
 	}
 	return RankReply{}, err
@@ -54,15 +57,20 @@
 	return out
 }
 
-func (c *RankClient) learn(first string, entries []Entry) {
+// learn takes in the reply of an entry, and returns it with its contents.
+func (c *RankClient) learn(first string, reply RankReply) RankReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if reply.Digest != c.last.Digest {
+		c.last = reply
+	}
 	c.entries = []string{first}
-	for _, e := range entries {
+	for _, e := range c.last.Entries {
 		if e.Control != first {
 			c.entries = append(c.entries, e.Control)
 		}
 	}
+	return c.last
 }
 
 // Tell sends the state of a group to all known entries. An entry that has not answered the state before is left out.
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,8 +46,20 @@
 	model  *routetable.Engine
 	seq    int64
 	told   time.Time // last report of the group to the entries
+	full   fullState // last report that named the ranks
 }
 
+// fullState is what a report of a group with its ranks said of them.
+type fullState struct {
+	at    time.Time
+	term  int64
+	ranks []fleet.RankState
+}
+
+// fullInterval is the time between two reports of a group that name its ranks, though nothing of them has changed: an
+// entry that started meanwhile needs them.
+const fullInterval = time.Second
+
 func newRank(s *Settings, a Adapters) *rank {
 	r := &rank{settings: s, adapters: a, started: time.Now(), ranks: map[int]fleet.Rank{}, direct: map[string]*rankgroup.Agent{},
 		peers: &peer.Pool{Idle: peerIdle}}
@@ -189,5 +202,10 @@
 		out.Open = out.Open && rank.Open
 		out.Ranks = append(out.Ranks, fleet.RankState{Engine: r.ranks[i].Engine, Pace: rank.Pace})
 	}
+	if r.full.term == s.Term && now.Sub(r.full.at) < fullInterval && slices.Equal(r.full.ranks, out.Ranks) {
+		out.Ranks = nil
+	} else {
+		r.full = fullState{now, s.Term, out.Ranks}
+	}
 	return out, true
 }
