Let callers that were refused before wait for a place, and leave closed engines at once

Each engine was avoided only after three refusals, which used up the repeats, and callers that came back were refused again and lost though the groups opened a moment later.

A caller that was refused before waits for a place, or for a group to open, up to 0.4 of its remaining time and 2.5 s at most; it has missed the objective already. First callers are refused at once, to come back within a second.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,6 +27,8 @@
 const (
 	ReasonFull      Reason = "targets-full"
 	ReasonNoTargets Reason = "no-targets"
+	// ReasonClosed is that all targets are avoided, or in groups that take no requests, which passes.
+	ReasonClosed Reason = "targets-closed"
 )
 
 // Job describes the request that needs a target.
@@ -57,6 +59,7 @@
 	s        *state
 	service  string
 	progress *progress // of the target's group; nil if the group is unknown
+	engine   bool      // the target is an engine
 }
 
 // Result is how a request ended at its target.
@@ -69,6 +72,7 @@
 	Failed         // the target answered that it failed
 	Broken         // no answer, or a broken one
 	Left           // the caller left, which says nothing of the target
+	closed         // not run, by an engine with free slots: its group is not open
 )
 
 // Balancer tracks the load and the health of targets. It is safe for concurrent use.
@@ -139,11 +143,14 @@
 	bestScore := math.Inf(1)
 	reason := ReasonNoTargets
 	for _, t := range targets {
-		if job.Exclude[t.Incarnation()] || !b.state(t).health.usable(now) {
+		if job.Exclude[t.Incarnation()] {
 			continue
 		}
 		g := b.groupOf(t, now)
-		if g != nil && !g.report.Open || b.stalled(t.Addr, now, gapOf(job)) {
+		if !b.state(t).health.usable(now) || g != nil && !g.report.Open || b.stalled(t.Addr, now, gapOf(job)) {
+			if reason == ReasonNoTargets {
+				reason = ReasonClosed
+			}
 			continue
 		}
 		reason = ReasonFull
@@ -162,7 +169,7 @@
 	if p != nil {
 		p.began(now, gapOf(job))
 	}
-	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p}, ""
+	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil}, ""
 }
 
 // score predicts how slow a target is with one more request, in seconds. ok is false if it has no place.
@@ -240,6 +247,9 @@
 		l.progress.running--
 	}
 	now := l.b.now()
+	if r == Refused && l.engine && l.b.inFlight(l.Target, now) < l.Target.Slots/2 {
+		r = closed
+	}
 	l.b.judge(l.Target.ID, &l.s.health, r, now)
 	l.b.queue(l.service).freed(now)
 	l.b.dispatch()
@@ -282,4 +292,5 @@
 			delete(b.peers, name)
 		}
 	}
+	b.dispatch() // a target may be tried again by now
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -364,3 +364,61 @@
 		}
 	})
 }
+
+// TestReturningCallersWaitForGroup guards against callers that are refused a second time, and so lost, a moment before
+// their group opens, and against first callers that are held though nobody knows when it does. Load pattern: all VMs lose
+// power, and their callers come back while the groups still form. Seen in incident inc-f7ba.
+func TestReturningCallersWaitForGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(8)
+		report := groupReport("g", 1, list, 1.1)
+		report.Open = false
+		b.Group(report)
+		job := modelJob(list)
+		started := time.Now()
+		_, r := b.Acquire(context.Background(), job)
+		if r == nil || r.Reason != ReasonClosed || r.RetryAfter > closedWait || time.Since(started) > 0 {
+			t.Errorf("first caller: %+v after %v", r, time.Since(started))
+		}
+		go func() {
+			time.Sleep(700 * time.Millisecond)
+			report.Seq, report.Open = 2, true
+			b.Group(report)
+		}()
+		returning := *job
+		returning.Returning, returning.MaxWait = true, 2*time.Second
+		if _, r := b.Acquire(context.Background(), &returning); r != nil {
+			t.Errorf("returning caller: %+v after %v", r, time.Since(started))
+		}
+		if took := time.Since(started); took != 700*time.Millisecond {
+			t.Errorf("the returning caller waited for %v", took)
+		}
+	})
+}
+
+// TestRefusalWithFreeSlotsClosesEngine guards against the repeats of the whole fleet that are used up on engines whose
+// group still forms, and against engines that are avoided long after. Load pattern: as above, at entries that do not know
+// yet which engines belong together.
+func TestRefusalWithFreeSlotsClosesEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(4)
+		sends := 0
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			l, r := b.Acquire(context.Background(), modelJob(list))
+			if r != nil {
+				continue
+			}
+			sends++
+			l.Done(Refused)
+		}
+		if most := 4 * int(2*time.Second/firstBackoff+1); sends > most {
+			t.Errorf("%d requests in 2 s went to 4 engines that refuse, want %d at most", sends, most)
+		}
+		time.Sleep(firstBackoff)
+		if _, r := b.Acquire(context.Background(), modelJob(list)); r != nil {
+			t.Errorf("%v: the engines are still avoided", r)
+		}
+	})
+}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -37,6 +37,9 @@
 	case Served:
 		*h = health{}
 		return
+	case closed:
+		h.weight, h.backoff, h.until = openWeight, firstBackoff, now.Add(firstBackoff)
+		return
 	case Refused, Failed:
 		h.weight++
 	case Broken:
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -76,10 +76,9 @@
 			return lease, nil
 		}
 	}
-	wait := q.wait(q.before(job), b.now())
-	if reason != ReasonFull || wait > job.MaxWait {
+	if !q.worthWaiting(job, reason, b.now()) {
 		b.mu.Unlock()
-		return nil, &Refusal{reason, comeBack(job)}
+		return nil, refusal(job, reason)
 	}
 	w := &waiter{job: job, lease: make(chan *Lease, 1)}
 	q.add(w)
@@ -87,6 +86,30 @@
 	return b.await(ctx, q, w)
 }
 
+// worthWaiting says whether a job may get a place in time. Groups that are closed open again, but nobody knows when, so that
+// only callers wait for it who are lost if they are refused again.
+func (q *queue) worthWaiting(job *Job, reason Reason, now time.Time) bool {
+	switch reason {
+	case ReasonFull:
+		return q.wait(q.before(job), now) <= job.MaxWait
+	case ReasonClosed:
+		return job.Returning && job.MaxWait > 0
+	}
+	return false
+}
+
+// closedWait is when a caller may come back that found all targets closed: a group that lost a rank has formed anew by
+// then.
+const closedWait = time.Second
+
+func refusal(job *Job, reason Reason) *Refusal {
+	r := &Refusal{reason, comeBack(job)}
+	if reason == ReasonClosed {
+		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(closedWait)*(1-returnSpread*rand.Float64())))
+	}
+	return r
+}
+
 // comeBack returns when a refused caller may come back. A demand swing lasts longer than callers honour the time, so they
 // return as late as they accept, spread over the time before it.
 func comeBack(job *Job) time.Duration {
@@ -136,7 +159,7 @@
 	case l := <-w.lease: // the place came at the same time
 		return l, nil
 	default:
-		return nil, &Refusal{ReasonFull, comeBack(w.job)}
+		return nil, refusal(w.job, ReasonFull)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,12 +58,29 @@
 	return x.call.Wait > 0 && x.call.Wait < time.Duration(returningShare*float64(x.route.Timeout))
 }
 
+const (
+	// returningWait is the longest time for which a caller that was refused before may wait for a place. It has missed the
+	// objective, and is lost if it is refused again.
+	returningWait = 2500 * time.Millisecond
+	// returningWaitShare is the part of its remaining time that such a caller may wait; the rest is for the answer.
+	returningWaitShare = 0.4
+)
+
+// maxWait is the longest time for which the request may wait for a place.
+func (x *exchange) maxWait() time.Duration {
+	left := time.Until(x.expires)
+	if x.returning() {
+		return min(returningWait, time.Duration(returningWaitShare*float64(left)))
+	}
+	return min(time.Duration(waitShare*float64(x.route.Objective)), left)
+}
+
 // job describes the request to the balancer.
 func (x *exchange) job() *balance.Job {
 	return &balance.Job{
 		Name: x.service, Service: x.table.Service(x.service), EventGap: x.route.EventGap, Priority: x.priority(),
 		Left: time.Until(x.expires), Returning: x.returning(),
-		MaxWait: min(time.Duration(waitShare*float64(x.route.Objective)), time.Until(x.expires)),
+		MaxWait: x.maxWait(),
 		Exclude: x.exclude,
 		Targets: func() []*targetset.Target { return x.g.Targets.Snapshot().ByService[x.service] },
 	}
