--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -39,6 +39,12 @@
 	return h.Sum64()
 }
 
+// Entries returns the other entries that were heard of lately.
+func (f *Fleet) Entries() []Entry {
+	all, _ := f.members()
+	return slices.DeleteFunc(all, func(e Entry) bool { return e.Control == f.opt.Self.Control })
+}
+
 // Live returns the number of entries in touch, this one included, and of all that were heard of lately.
 func (f *Fleet) Live() (live, known int) {
 	f.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -99,6 +99,7 @@
 	}
 	server := peer.NewServer()
 	e.fleet.Register(server)
+	server.Handle(methodExplain, peer.Typed(e.explainOwn))
 	work := e.callerServer()
 	group, failed := errgroup.WithContext(ctx)
 	group.Go(func() error { return ended(work.Serve(gateway.Listener(callers, e.limits))) })
@@ -109,7 +110,7 @@
 	go e.fleet.Run(background)
 	go e.upkeep(background)
 	go e.adapters.Reload.run(background, e.settings, e.reload)
-	serveMetrics(background, e.settings.Listen.Metrics, e.records, e.settings.Name)
+	serveMetrics(background, e.settings.Listen.Metrics, e.serveExplain)
 	<-failed.Done()
 	if ctx.Err() != nil {
 		e.stop(background, work)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/node"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/status"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 	"github.com/camphorbank/camphorbank/platform"
 	"github.com/camphorbank/camphorbank/test/standin/store"
@@ -203,3 +205,32 @@
 		}
 	}
 }
+
+// TestExplainAsksAllEntries guards against a request that cannot be explained because another entry had it, and against
+// an entry that does not answer and goes unnoticed.
+func TestExplainAsksAllEntries(t *testing.T) {
+	st, _ := startPlatform(t, target.Answer(200, "ok"))
+	first := startEntry(t, "e1", st.Addr())
+	second := startEntry(t, "e2", st.Addr(), first.settings.Listen.Control)
+	first.until("readiness", first.ready)
+	second.until("readiness", second.ready)
+	resp, err := first.do("POST", "/u/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	explain := func() (e status.Explanation) {
+		resp, err := http.Get("http://" + second.settings.Listen.Metrics + "/fleet/explain/r-1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+			t.Fatal(err)
+		}
+		return e
+	}
+	second.until("the record", func() bool { e := explain(); return e.Found && e.Entry == "e1" && len(e.Unreachable) == 0 })
+	first.stop()
+	second.until("an entry that is away", func() bool { e := explain(); return !e.Found && len(e.Unreachable) == 1 })
+}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"net"
 	"net/http"
@@ -15,7 +14,6 @@
 	"github.com/camphorbank/camphorbank/internal/metrics"
 	"github.com/camphorbank/camphorbank/internal/outcome"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
-	"github.com/camphorbank/camphorbank/internal/status"
 )
 
 // keptRecords is the number of requests that a process can explain, as on its own interface.
@@ -47,8 +45,8 @@
 }
 
 // serveMetrics serves counters, and on entries the records of the latest requests, at addr until ctx ends. A process
-// without metrics goes on serving.
-func serveMetrics(ctx context.Context, addr string, records *decision.Ring, name string) {
+// without metrics goes on serving. explain is nil in processes that take no requests.
+func serveMetrics(ctx context.Context, addr string, explain http.HandlerFunc) {
 	if addr == "" {
 		return
 	}
@@ -60,11 +58,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler())
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	mux.HandleFunc("GET /fleet/explain/{id}", func(w http.ResponseWriter, r *http.Request) {
-		record, found := records.Find(r.PathValue("id"))
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(status.Explanation{Found: found, Entry: name, Record: record}) // the reader left
-	})
+	if explain != nil {
+		mux.HandleFunc("GET /fleet/explain/{id}", explain)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: serverLog}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(l) }() // ends with the process
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -91,7 +91,7 @@
 	defer stop()
 	go func() { _ = server.Serve(background, l) }() // ends with the process
 	go r.adapters.Reload.run(background, r.settings, func(s *Settings) { r.client.SetSeeds(s.Seeds) })
-	serveMetrics(background, r.settings.Listen.Metrics, nil, r.settings.Name)
+	serveMetrics(background, r.settings.Listen.Metrics, nil)
 	r.register(ctx)
 	server.Close()
 	return nil
