Send the state of entries packed, and beats of large fleets less often

The bytes of the exchanges grow with the square of the entries.

State replies are packed (1,400 routes in less than 40 KB), and the time between two exchanges grows with the entries, up to 0.4 s.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// beatInterval is the time between two exchanges with each other entry.
+	// beatInterval is the least time between two exchanges with each other entry, and longestBeat the most.
 	beatInterval = 150 * time.Millisecond
+	longestBeat  = 400 * time.Millisecond
+	// beatCost is the time between two exchanges for each entry of a large fleet. What one entry has in flight matters
+	// less there, while the bytes of all exchanges grow with the square of the entries.
+	beatCost = 17 * time.Millisecond
 	// takeoverAge is the time without word from an entry after which the side that is called calls by itself.
 	takeoverAge = 600 * time.Millisecond
 	// liveAge is the time without word from an entry after which it counts as unreachable.
@@ -57,6 +61,7 @@
 // Kinds of events.
 const (
 	EventPeerLost     EventKind = "peer-lost"
+	EventMalformed    EventKind = "state-malformed" // a peer sent what cannot be read
 	EventPeerRegained EventKind = "peer-regained"
 	EventConfig       EventKind = "configuration-from-peer"
 	EventList         EventKind = "list-from-peer"
@@ -108,18 +113,25 @@
 
 // Run exchanges with the other entries until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	tick := time.NewTicker(beatInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		f.round(ctx, time.Now())
 		select {
-		case <-tick.C:
+		case <-timer.C:
+			f.round(ctx, time.Now())
+			timer.Reset(f.interval())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// interval returns the time between two exchanges with each other entry.
+func (f *Fleet) interval() time.Duration {
+	_, known := f.Live()
+	return min(longestBeat, max(beatInterval, time.Duration(known)*beatCost))
+}
+
 // round starts the calls that are due.
 func (f *Fleet) round(ctx context.Context, now time.Time) {
 	f.mu.Lock()
@@ -245,10 +257,15 @@
 func (f *Fleet) fetch(ctx context.Context, from Entry, ask StateRequest) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply StateReply
-	if err := f.opt.Pool.Call(ctx, from.Control, methodState, ask, &reply); err != nil {
+	var packed StateReply
+	if err := f.opt.Pool.Call(ctx, from.Control, methodState, ask, &packed); err != nil {
 		return // the next beat asks again; a peer that stays away is told as lost
 	}
+	reply, err := unpack(packed)
+	if err != nil {
+		f.opt.Notify(Event{Kind: EventMalformed, Peer: from.Name, Err: err})
+		return
+	}
 	now := time.Now()
 	if reply.Config != nil && f.opt.Tables.Offer(*reply.Config) {
 		f.opt.Notify(Event{Kind: EventConfig, Peer: from.Name, Value: reply.Config.Version})
@@ -270,7 +287,7 @@
 }
 
 func (f *Fleet) serveState(_ context.Context, in StateRequest) (StateReply, error) {
-	var out StateReply
+	var out State
 	if t := f.opt.Tables.Load(); t != nil && t.Config.Version > in.Config {
 		out.Config = &t.Config
 	}
@@ -280,7 +297,7 @@
 	if in.Members {
 		out.Entries, out.Ranks = f.members()
 	}
-	return out, nil
+	return pack(out)
 }
 
 func (f *Fleet) serveRank(_ context.Context, in RankRequest) (RankReply, error) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"bytes"
+	"compress/flate"
+	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -95,3 +99,47 @@
 		t.Errorf("the rank knows %v", client.last.Ranks)
 	}
 }
+
+// TestStateIsSmall guards against configurations that go to each entry in full length, and against a packed state that is
+// read wrongly or without a bound.
+func TestStateIsSmall(t *testing.T) {
+	c := routetable.Config{Version: 7}
+	for i := range 1400 {
+		c.Routes = append(c.Routes, routetable.Route{Name: fmt.Sprint("r-", i), Host: fmt.Sprintf("h%d.example", i), Prefix: "/p/",
+			Kind: routetable.KindSafe, Timeout: time.Second, Backends: []routetable.Backend{{Service: "s", Weight: 1}}})
+	}
+	packed, err := pack(State{Config: &c, List: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed.Packed) > 40_000 {
+		t.Errorf("%d bytes for %d routes", len(packed.Packed), len(c.Routes))
+	}
+	got, err := unpack(packed)
+	if err != nil || got.List != 3 || !reflect.DeepEqual(got.Config.Routes, c.Routes) {
+		t.Errorf("%v: other contents", err)
+	}
+	if _, err := unpack(StateReply{Packed: packed.Packed[:100]}); err == nil {
+		t.Error("a part of a state is accepted")
+	}
+	var bomb bytes.Buffer
+	w, _ := flate.NewWriter(&bomb, flate.BestCompression)
+	_, _ = w.Write(make([]byte, maxStateBytes+1))
+	_ = w.Close()
+	if _, err := unpack(StateReply{Packed: bomb.Bytes()}); !errors.Is(err, errStateSize) {
+		t.Errorf("a state above the bound: %v", err)
+	}
+}
+
+// TestBeatsOfLargeFleet guards against exchanges whose bytes grow with the square of the entries.
+func TestBeatsOfLargeFleet(t *testing.T) {
+	for entries, want := range map[int]time.Duration{5: beatInterval, 22: 22 * beatCost, 100: longestBeat} {
+		f := newTestFleet("c")
+		for n := 1; n < entries; n++ {
+			f.hear(fmt.Sprint("c", n), false, time.Now())
+		}
+		if got := f.interval(); got != want {
+			t.Errorf("%d entries: %v, want %v", entries, got, want)
+		}
+	}
+}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -54,8 +54,14 @@
 	Members bool  `json:"m"`  // whether to send the members
 }
 
-// StateReply holds what is newer than the request states.
+// StateReply holds a State in few bytes: a configuration with many routes is hundreds of kilobytes, and goes to each entry
+// that does not read it from the platform.
 type StateReply struct {
+	Packed []byte `json:"z"`
+}
+
+// State is what is newer than a request states.
+type State struct {
 	Config  *routetable.Config `json:"c,omitempty"`
 	List    int64              `json:"lr,omitempty"`
 	Targets []targetset.Target `json:"t,omitempty"`
--- /dev/null
+++ b/internal/fleet/pack.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxStateBytes bounds an unpacked state, so that a broken peer cannot fill the memory. A configuration of 2,000 routes
+// takes less than a megabyte.
+const maxStateBytes = 16 << 20
+
+var errStateSize = errors.New("state of a peer is too large")
+
+// pack encodes a state.
+func pack(s State) (StateReply, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return StateReply{}, err
+	}
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		return StateReply{}, err
+	}
+	if err := w.Close(); err != nil {
+		return StateReply{}, err
+	}
+	return StateReply{Packed: out.Bytes()}, nil
+}
+
+// unpack decodes a state.
+func unpack(r StateReply) (State, error) {
+	var s State
+	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), maxStateBytes+1))
+	if err != nil {
+		return s, fmt.Errorf("state of a peer: %w", err)
+	}
+	if len(content) > maxStateBytes {
+		return s, errStateSize
+	}
+	if err := json.Unmarshal(content, &s); err != nil {
+		return s, fmt.Errorf("state of a peer: %w", err)
+	}
+	return s, nil
+}
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -83,6 +83,9 @@
 	if e.Value > 0 {
 		f["value"] = e.Value
 	}
+	if e.Err != nil {
+		f["error"] = e.Err.Error()
+	}
 	log.WithFields(f).Info("fleet")
 }
 
