--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -89,7 +89,7 @@
 // Probes lists all probes.
 func Probes() []Probe {
 	var out []Probe
-	for _, group := range [][]Probe{entryProbes(), localProbes(), fleetProbes(), expertProbes(), switchProbes()} {
+	for _, group := range [][]Probe{entryProbes(), localProbes(), fleetProbes(), expertProbes(), switchProbes(), platformProbes()} {
 		out = append(out, group...)
 	}
 	return out
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -20,7 +20,7 @@
 // TestProbesMeasureThreeSizes guards against a slope from too few sizes, and against a probe that fails. The probes
 // of whole fleets take tens of seconds and are left to scripts/capacity.
 func TestProbesMeasureThreeSizes(t *testing.T) {
-	for _, group := range [][]Probe{entryProbes(), localProbes()} {
+	for _, group := range [][]Probe{entryProbes(), localProbes(), platformProbes()} {
 		for _, p := range group {
 			m, err := p.Run(t.Context())
 			if err != nil || len(m.Points) < 3 {
