Give slow ranks less of the experts' work

Cause: a pass lasts as long as the most loaded rank takes, but maps were planned as if all ranks were alike.

The work of a rank counts times its pace, in the plan and in the imbalance that entries are told; entries count the pace of an engine for its own part only.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -187,14 +187,11 @@
 		return 0, false
 	}
 	mean := float64(l.requests+1) / float64(l.ranks)
-	pace := g.slowest()
-	if n >= t.Slots || !job.Returning && passTime(e, n+1, mean, assumedImbalance, pace) > gapOf(job) {
+	imbalance, kept := g.imbalance()
+	pace := g.pace(t.Addr)
+	if n >= t.Slots || !job.Returning && passTime(e, n+1, mean, kept, pace) > gapOf(job) {
 		return 0, false
 	}
-	imbalance := 1.0
-	if g != nil && g.report.Imbalance > 0 {
-		imbalance = g.report.Imbalance
-	}
 	pass := passTime(e, n+1, mean, imbalance, pace)
 	return (pass + far).Seconds() * (1 + rand.Float64()*spread), true
 }
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -108,23 +108,46 @@
 	return out
 }
 
-// passTime predicts the time of a pass of an engine with n requests in a group whose ranks have mean requests.
+// passTime predicts the time of a pass of an engine of some pace with n requests, in a group whose ranks have mean requests
+// and whose most loaded rank takes imbalance times as long as the mean for the experts' work.
 func passTime(e *routetable.Engine, n int, mean, imbalance, pace float64) time.Duration {
 	one := func(requests float64) float64 {
 		return float64(e.Stride) * (float64(e.StepTime) + float64(e.PerRequest)*requests)
 	}
 	share := e.Experts.Share
-	own := (1 - share) * one(float64(n))
+	own := (1 - share) * one(float64(n)) * max(1, pace)
 	joint := share * imbalance * one(mean)
-	return time.Duration((own + joint) * max(1, pace) / (1 - readingShare))
+	return time.Duration((own + joint) / (1 - readingShare))
+}
+
+// imbalance returns how much longer the most loaded rank takes than the mean, and the same for which places are kept free.
+// The group's coordinator counts the pace of the ranks in, and moves experts away from slow ones.
+func (g *group) imbalance() (now, kept float64) {
+	if g == nil {
+		return 1, assumedImbalance
+	}
+	if g.report.Imbalance <= 0 {
+		return g.slowest(), assumedImbalance * g.slowest()
+	}
+	return g.report.Imbalance, max(assumedImbalance, g.report.Imbalance)
+}
+
+// pace returns the pace of the engine at an address.
+func (g *group) pace(addr string) float64 {
+	if g == nil {
+		return 1
+	}
+	for _, r := range g.report.Ranks {
+		if r.Engine == addr {
+			return max(1, r.Pace)
+		}
+	}
+	return 1
 }
 
 // slowest returns the pace of the slowest rank, which the whole group waits for.
 func (g *group) slowest() float64 {
 	pace := 1.0
-	if g == nil {
-		return pace
-	}
 	for _, r := range g.report.Ranks {
 		pace = max(pace, r.Pace)
 	}
--- a/internal/expertmap/incremental.go
+++ b/internal/expertmap/incremental.go
@@ -13,9 +13,10 @@
 	Shape       Shape
 	Loads       [][]float64 // of each layer and expert; layers sum up to the same total
 	Current     port.ExpertMap
-	NewPerRank  int     // experts that one rank may load, over all layers
-	NewPerLayer int     // experts that one rank may load in one layer
-	MinGain     float64 // least relative gain of the sum over the layers for which a rank loads one expert
+	Pace        []float64 // of each rank, above 1 for one that takes longer for the same work; nil if all are alike
+	NewPerRank  int       // experts that one rank may load, over all layers
+	NewPerLayer int       // experts that one rank may load in one layer
+	MinGain     float64   // least relative gain of the sum over the layers for which a rank loads one expert
 }
 
 // IncrementResult is the map after an increment.
@@ -23,7 +24,7 @@
 	Map    port.ExpertMap
 	Loads  int     // experts that are loaded, over all ranks
 	Most   int     // experts that the rank loads that loads most
-	Before float64 // mean over the layers of the most loaded rank's work against the mean
+	Before float64 // mean over the layers of the most loaded rank's work, times its pace, against the mean
 	After  float64
 }
 
@@ -44,7 +45,7 @@
 		s.left[r] = in.NewPerRank
 	}
 	for l := range in.Shape.Layers {
-		s.layers = append(s.layers, newLayerState(in.Shape, in.Current.Slots[l], in.Loads[l]))
+		s.layers = append(s.layers, newLayerState(in.Shape, in.Current.Slots[l], in.Loads[l], in.Pace))
 	}
 	out := IncrementResult{Before: s.imbalance()}
 	s.run()
@@ -60,11 +61,12 @@
 	return out
 }
 
-// Imbalance returns the work of the most loaded rank against the mean, averaged over the layers.
-func Imbalance(shape Shape, m port.ExpertMap, loads [][]float64) float64 {
+// Imbalance returns the work of the most loaded rank, times its pace, against the mean work, averaged over the layers. pace
+// may be nil.
+func Imbalance(shape Shape, m port.ExpertMap, loads [][]float64, pace []float64) float64 {
 	s := &incrementSearch{in: Increment{Shape: shape}}
 	for l := range shape.Layers {
-		s.layers = append(s.layers, newLayerState(shape, m.Slots[l], loads[l]))
+		s.layers = append(s.layers, newLayerState(shape, m.Slots[l], loads[l], pace))
 	}
 	return s.imbalance()
 }
@@ -184,18 +186,19 @@
 type layerState struct {
 	loads    []float64
 	total    float64
-	experts  [][]int // by rank
-	holders  [][]int // ranks, by expert
-	replicas []int   // by expert
-	work     []float64
-	loaded   []int // experts newly loaded, by rank
+	experts  [][]int   // by rank
+	pace     []float64 // by rank; nil if all are alike
+	holders  [][]int   // ranks, by expert
+	replicas []int     // by expert
+	work     []float64 // by rank, times the pace
+	loaded   []int     // experts newly loaded, by rank
 	original [][]int
 	by       []float64 // scratch of powerDelta, by rank
 	changed  []int     // ranks in by that are not 0
 }
 
-func newLayerState(shape Shape, ranks [][]int, loads []float64) *layerState {
-	l := &layerState{loads: loads, replicas: make([]int, shape.Experts), work: make([]float64, shape.Ranks),
+func newLayerState(shape Shape, ranks [][]int, loads, pace []float64) *layerState {
+	l := &layerState{loads: loads, pace: pace, replicas: make([]int, shape.Experts), work: make([]float64, shape.Ranks),
 		loaded: make([]int, shape.Ranks), original: ranks, by: make([]float64, shape.Ranks),
 		holders: make([][]int, shape.Experts)}
 	for _, w := range loads {
@@ -210,12 +213,20 @@
 	}
 	for r, experts := range l.experts {
 		for _, e := range experts {
-			l.work[r] += loads[e] / float64(l.replicas[e])
+			l.work[r] += l.time(r, loads[e]/float64(l.replicas[e]))
 		}
 	}
 	return l
 }
 
+// time returns what work costs on a rank.
+func (l *layerState) time(rank int, work float64) float64 {
+	if l.pace == nil {
+		return work
+	}
+	return work * max(1, l.pace[rank])
+}
+
 func (l *layerState) hottest() int {
 	hot := 0
 	for r, w := range l.work {
@@ -287,7 +298,7 @@
 		if l.by[rank] == 0 {
 			l.changed = append(l.changed, rank)
 		}
-		l.by[rank] += by
+		l.by[rank] += l.time(rank, by)
 	})
 	delta := 0.0
 	for _, rank := range l.changed {
@@ -328,7 +339,7 @@
 }
 
 func (l *layerState) apply(c replicaChange) {
-	l.shift(c, func(rank int, by float64) { l.work[rank] += by })
+	l.shift(c, func(rank int, by float64) { l.work[rank] += l.time(rank, by) })
 	if c.drop >= 0 {
 		l.remove(c.rank, c.drop)
 	}
--- a/internal/expertmap/incremental_test.go
+++ b/internal/expertmap/incremental_test.go
@@ -82,8 +82,8 @@
 	if m := slices.Max(fresh); m > in.NewPerRank || m != got.Most {
 		t.Fatalf("a rank loads %d experts, the result says %d", m, got.Most)
 	}
-	if got.After > got.Before+1e-9 || math.Abs(got.After-Imbalance(in.Shape, got.Map, in.Loads)) > 1e-9 {
-		t.Fatalf("imbalance from %v to %v, measured %v", got.Before, got.After, Imbalance(in.Shape, got.Map, in.Loads))
+	if got.After > got.Before+1e-9 || math.Abs(got.After-Imbalance(in.Shape, got.Map, in.Loads, nil)) > 1e-9 {
+		t.Fatalf("imbalance from %v to %v, measured %v", got.Before, got.After, Imbalance(in.Shape, got.Map, in.Loads, nil))
 	}
 }
 
@@ -94,10 +94,10 @@
 	current := initialMap(s)
 	for _, first := range []int{5, 30, 51, 12} {
 		loads := zipfLoads(s, first)
-		start, rounds := Imbalance(s, current, loads), 0
-		for ; Imbalance(s, current, loads) > 1.25; rounds++ {
+		start, rounds := Imbalance(s, current, loads, nil), 0
+		for ; Imbalance(s, current, loads, nil) > 1.25; rounds++ {
 			if rounds == 5 {
-				t.Fatalf("imbalance %.2f, at first %.2f, after %d changes", Imbalance(s, current, loads), start, rounds)
+				t.Fatalf("imbalance %.2f, at first %.2f, after %d changes", Imbalance(s, current, loads, nil), start, rounds)
 			}
 			current = Increment{Shape: s, Loads: loads, Current: current, NewPerRank: 1, NewPerLayer: 4, MinGain: 0.04}.Make().Map
 		}
@@ -112,3 +112,23 @@
 		in.Make()
 	}
 }
+
+// TestSlowRankGetsLess guards against a rank that is slow and keeps its experts, for which the whole group waits. Load
+// pattern: one engine takes five times as long as the others.
+func TestSlowRankGetsLess(t *testing.T) {
+	s := Shape{Ranks: 32, Layers: 12, Experts: 128, SlotsPerRank: 5}
+	loads := zipfLoads(s, 9)
+	pace := make([]float64, s.Ranks)
+	for r := range pace {
+		pace[r] = 1
+	}
+	pace[7] = 5
+	current := initialMap(s)
+	start := Imbalance(s, current, loads, pace)
+	for range 4 {
+		current = Increment{Shape: s, Loads: loads, Current: current, Pace: pace, NewPerRank: 3, NewPerLayer: 2, MinGain: 0.01}.Make().Map
+	}
+	if got := Imbalance(s, current, loads, pace); got > 2 || start < 4 {
+		t.Errorf("imbalance %.2f after four changes, at first %.2f", got, start)
+	}
+}
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -330,7 +330,7 @@
 	r := Report{Term: c.term, Status: slices.Clone(c.status)}
 	if c.pop != nil && c.known {
 		if loads, ok := c.pop.loads(); ok {
-			r.Imbalance = expertmap.Imbalance(c.shape(), c.current, loads)
+			r.Imbalance = expertmap.Imbalance(c.shape(), c.current, loads, c.paces())
 		}
 	}
 	return r
--- a/internal/rankgroup/plan.go
+++ b/internal/rankgroup/plan.go
@@ -33,12 +33,12 @@
 		return plan{}, false
 	}
 	shape := c.shape()
-	if expertmap.Imbalance(shape, c.current, loads) < minImbalance {
+	if expertmap.Imbalance(shape, c.current, loads, c.paces()) < minImbalance {
 		return plan{}, false
 	}
 	part := c.loadPart()
 	next := expertmap.Increment{
-		Shape: shape, Loads: loads, Current: c.current, NewPerRank: max(1, int(1/part)),
+		Shape: shape, Loads: loads, Current: c.current, Pace: c.paces(), NewPerRank: max(1, int(1/part)),
 		NewPerLayer: max(1, c.engine.Experts.NewPerLayer), MinGain: minLoadGain * part,
 	}.Make()
 	if next.Before-next.After < max(minGain, minRoundGain*part*float64(next.Most)) {
@@ -47,6 +47,16 @@
 	return plan{next}, true
 }
 
+// paces returns the pace of each rank. A pass lasts as long as the most loaded rank takes, so that a slow rank should have
+// less of the work.
+func (c *Coordinator) paces() []float64 {
+	out := make([]float64, c.opt.Size)
+	for rank, s := range c.status {
+		out[rank] = max(1, s.Pace)
+	}
+	return out
+}
+
 // loadPart is the part of the budget in which a rank loads one expert.
 func (c *Coordinator) loadPart() float64 {
 	return min(1, max(minLoadPart, float64(c.engine.Experts.LoadTime())/float64(loadBudget)))
