--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -16,6 +16,8 @@
 	longestFault = 2500 * time.Millisecond
 	// series is the most faults of one kind that follow each other without a pause.
 	series = 3
+	// shiftInterval is the time between two shifts of popularity: a change of the map takes some 300 ms.
+	shiftInterval = 600 * time.Millisecond
 	// lateShare is the share of orders that are carried out late while that fault is in force.
 	lateShare = 0.35
 )
@@ -45,7 +47,6 @@
 	{"leave", true, (*world).replace},
 	{"crash", false, (*world).crash},
 	{"group", false, (*world).breakGroup},
-	{"popularity", true, func(w *world, rng *rand.Rand) { w.group.SetHot(rng.IntN(groupExperts - 1)) }},
 	{"late orders", false, (*world).lateOrders},
 	{"configuration", true, func(w *world, _ *rand.Rand) { w.publish() }},
 }
@@ -234,6 +235,14 @@
 	w.group.Form()
 }
 
+// shiftPopularity keeps the group's map changing until ctx ends, so that other faults meet changes in every phase.
+func (w *world) shiftPopularity(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		w.group.SetHot(rng.IntN(groupExperts - 1))
+		time.Sleep(shiftInterval)
+	}
+}
+
 // lateOrders leaves orders to the engines unanswered, and carries them out later.
 func (w *world) lateOrders(rng *rand.Rand) {
 	defer w.ledger.begin("late orders", false)()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,6 +98,7 @@
 	defer stop()
 	var load sync.WaitGroup
 	load.Go(func() { w.load(ctx, seed) })
+	go w.shiftPopularity(ctx, rand.New(rand.NewPCG(seed, 3)))
 	faulty, end := context.WithTimeout(ctx, *length)
 	defer end()
 	w.disturb(faulty)
