Let waiting callers whose targets are closed to them hold up nobody

One that may not use the only open target, because it failed there, stood at the head of the queue and kept all others of its service from free places.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -422,3 +422,38 @@
 		}
 	})
 }
+
+// TestBlockedCallerHoldsUpNobody guards against callers that wait behind one which may not use the targets that are open,
+// because they have failed it before. Load pattern: one target is left, and its first caller was failed there.
+func TestBlockedCallerHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(2)
+		closedTarget := b.state(list[0])
+		closedTarget.health.done(Broken, time.Now())
+		closedTarget.health.done(Broken, time.Now())
+		job := func(returning bool) *Job {
+			return &Job{Name: "p", MaxWait: time.Second, Returning: returning, Targets: func() []*targetset.Target { return list }}
+		}
+		blocked := job(true)
+		blocked.Exclude = map[targetset.Incarnation]bool{list[1].Incarnation(): true}
+		served := make(chan time.Duration, 1)
+		started := time.Now()
+		go func() {
+			if l, r := b.Acquire(context.Background(), blocked); r == nil && l.Target == list[0] {
+				served <- time.Since(started)
+			}
+			close(served)
+		}()
+		synctest.Wait()
+		l, r := b.Acquire(context.Background(), job(false))
+		if r != nil || l.Target != list[1] || time.Since(started) > 0 {
+			t.Fatalf("%v after %v, though a target has free places", r, time.Since(started))
+		}
+		time.Sleep(firstBackoff)
+		b.Sweep(map[string]*targetset.Target{list[0].ID: list[0], list[1].ID: list[1]})
+		if took, ok := <-served; !ok || took != firstBackoff {
+			t.Errorf("the caller that waited for the other target: served %v after %v", ok, took)
+		}
+	})
+}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -30,6 +30,8 @@
 type waiter struct {
 	job   *Job
 	lease chan *Lease // receives the place
+	// blocked says that its targets are closed, or that it may not use those that are open, so that others go first.
+	blocked bool
 }
 
 func (b *Balancer) queue(service string) *queue {
@@ -80,7 +82,7 @@
 		b.mu.Unlock()
 		return nil, refusal(job, reason)
 	}
-	w := &waiter{job: job, lease: make(chan *Lease, 1)}
+	w := &waiter{job: job, lease: make(chan *Lease, 1), blocked: reason == ReasonClosed}
 	q.add(w)
 	b.mu.Unlock()
 	return b.await(ctx, q, w)
@@ -117,11 +119,11 @@
 	return time.Duration(float64(latest) * (1 - returnSpread*rand.Float64()))
 }
 
-// before returns the number of requests that are served before a job.
+// before returns the number of requests that are served before a job, as far as they can be.
 func (q *queue) before(job *Job) int {
 	n := 0
 	for _, w := range q.waiting {
-		if !w.job.after(job) {
+		if !w.blocked && !w.job.after(job) {
 			n++
 		}
 	}
@@ -137,7 +139,11 @@
 }
 
 func (q *queue) add(w *waiter) {
-	q.waiting = slices.Insert(q.waiting, q.before(w.job), w)
+	i := slices.IndexFunc(q.waiting, func(other *waiter) bool { return other.job.after(w.job) })
+	if i < 0 {
+		i = len(q.waiting)
+	}
+	q.waiting = slices.Insert(q.waiting, i, w)
 }
 
 // await waits for a place.
@@ -166,13 +172,26 @@
 // dispatch gives free places to waiting requests. The caller holds the lock.
 func (b *Balancer) dispatch() {
 	for _, q := range b.queues {
-		for len(q.waiting) > 0 {
-			lease, _ := b.pick(q.waiting[0].job)
-			if lease == nil {
-				break
-			}
-			q.waiting[0].lease <- lease
-			q.waiting = q.waiting[1:]
+		b.serve(q)
+	}
+}
+
+// serve gives free places to the requests of one queue in their order, until there is none. A request whose targets are
+// closed to it holds up nobody.
+func (b *Balancer) serve(q *queue) {
+	for i := 0; i < len(q.waiting); {
+		w := q.waiting[i]
+		lease, reason := b.pick(w.job)
+		if lease != nil {
+			w.lease <- lease
+			q.waiting = slices.Delete(q.waiting, i, i+1)
+			continue
+		}
+		if reason == ReasonFull {
+			w.blocked = false
+			return
 		}
+		w.blocked = true
+		i++
 	}
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -91,7 +91,7 @@
 	Seq       int64       `json:"q"` // increases within a term
 	Epoch     int64       `json:"e"`
 	Open      bool        `json:"o"`
-	Imbalance float64     `json:"i"`           // work of the most loaded rank against the mean, averaged over the layers; 0 if unknown
+	Imbalance float64     `json:"i"`           // work of the most loaded rank, times its pace, against the mean; 0 if unknown
 	Ranks     []RankState `json:"r,omitempty"` // empty if they are those of the state before, in the same term
 }
 
