--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -394,6 +394,11 @@
 		if took := time.Since(started); took != 700*time.Millisecond {
 			t.Errorf("the returning caller waited for %v", took)
 		}
+		report.Seq, report.Open = 3, false
+		b.Group(report)
+		if _, r := b.Acquire(context.Background(), &returning); r == nil || r.Reason != ReasonClosed {
+			t.Errorf("a returning caller that waited in vain: %+v", r)
+		}
 	})
 }
 
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -165,8 +165,11 @@
 	case l := <-w.lease: // the place came at the same time
 		return l, nil
 	default:
-		return nil, refusal(w.job, ReasonFull)
 	}
+	if w.blocked {
+		return nil, refusal(w.job, ReasonClosed)
+	}
+	return nil, refusal(w.job, ReasonFull)
 }
 
 // dispatch gives free places to waiting requests. The caller holds the lock.
