Keep groups open whose other engines have no process of ours, and wait less in vain

Cause: the coordinator reported a group as closed when a rank did not answer, also where that rank has no process of ours and never will.

Nobody waits for closed targets of a service that has answered nobody for 5 s, and nobody longer than 1.5 s, since callers leave an attempt after two.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -248,7 +248,11 @@
 		r = closed
 	}
 	l.b.judge(l.Target.ID, &l.s.health, r, now)
-	l.b.queue(l.service).freed(now)
+	q := l.b.queue(l.service)
+	q.freed(now)
+	if r == Served {
+		q.served = now
+	}
 	l.b.dispatch()
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -399,6 +399,13 @@
 		if _, r := b.Acquire(context.Background(), &returning); r == nil || r.Reason != ReasonClosed {
 			t.Errorf("a returning caller that waited in vain: %+v", r)
 		}
+		time.Sleep(closedPatience)
+		report.Seq = 4
+		b.Group(report)
+		started = time.Now()
+		if _, r := b.Acquire(context.Background(), &returning); r == nil || time.Since(started) > 0 {
+			t.Errorf("a caller waited %v for a service that has not answered for long", time.Since(started))
+		}
 	})
 }
 
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -25,6 +25,7 @@
 	waiting []*waiter
 	rate    float64 // places that come free in a second
 	last    time.Time
+	served  time.Time // last success, or the first request
 }
 
 type waiter struct {
@@ -37,7 +38,7 @@
 func (b *Balancer) queue(service string) *queue {
 	q := b.queues[service]
 	if q == nil {
-		q = &queue{}
+		q = &queue{served: b.now()}
 		b.queues[service] = q
 	}
 	return q
@@ -95,11 +96,15 @@
 	case ReasonFull:
 		return q.wait(q.before(job), now) <= job.MaxWait
 	case ReasonClosed:
-		return job.Returning && job.MaxWait > 0
+		return job.Returning && now.Sub(q.served) < closedPatience
 	}
 	return false
 }
 
+// closedPatience is the time without any answer from a service after which nobody waits for its targets to open. A loss of
+// power and the forming of groups after it take less.
+const closedPatience = 5 * time.Second
+
 // closedWait is when a caller may come back that found all targets closed: a group that lost a rank has formed anew by
 // then.
 const closedWait = time.Second
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,8 +60,8 @@
 
 const (
 	// returningWait is the longest time for which a caller that was refused before may wait for a place. It has missed the
-	// objective, and is lost if it is refused again.
-	returningWait = 2500 * time.Millisecond
+	// objective, and is lost if it is refused again. Callers leave an attempt that is not answered within two seconds.
+	returningWait = 1500 * time.Millisecond
 	// returningWaitShare is the part of its remaining time that such a caller may wait; the rest is for the answer.
 	returningWaitShare = 0.4
 )
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -199,7 +199,11 @@
 	out = fleet.GroupState{Group: self.Group, Term: s.Term, Seq: r.seq, Open: true, Imbalance: s.Imbalance}
 	for i, rank := range s.Status {
 		out.Epoch = max(out.Epoch, rank.Epoch)
-		out.Open = out.Open && rank.Open
+		// A rank without a process of ours never answers, which says nothing of its group. A known one that does not answer
+		// holds up all others before they notice.
+		if _, known := r.ranks[i]; known {
+			out.Open = out.Open && rank.Open
+		}
 		out.Ranks = append(out.Ranks, fleet.RankState{Engine: r.ranks[i].Engine, Pace: rank.Pace})
 	}
 	if r.full.term == s.Term && now.Sub(r.full.at) < fullInterval && slices.Equal(r.full.ranks, out.Ranks) {
