Test a store that is silent from the first watch on apart from a dropped history

Cause: the test disturbed the store before the first watch had begun. That watch then met a silent store, which never answers it; it is given up 3.2 s after its start, and the entry that is missing then may come back for 2.2 s.

The test now waits for the first watch, as it means to, with its bound unchanged. The other case has a test of its own, bounded by these two times and a second.

--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -59,12 +59,17 @@
 
 func (f *follower) until(what string, ok func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	f.within(5*time.Second, what, ok)
+}
+
+func (f *follower) within(limit time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if ok() {
 			return
 		}
 	}
-	f.t.Fatalf("no %s after 5 s", what)
+	f.t.Fatalf("no %s after %v", what, limit)
 }
 
 func (f *follower) saw(kind listwatch.EventKind) bool {
@@ -99,9 +104,13 @@
 	f.until("list read anew", func() bool { return f.saw(listwatch.EventMalformed) && f.usable() == 6 })
 }
 
+// callsOfFirstWatch is the number of calls up to the first watch: two pages of targets and the configuration come before.
+const callsOfFirstWatch = 4
+
 // TestHistoryDropped guards against a target that leaves while the history is dropped and stays in use.
 func TestHistoryDropped(t *testing.T) {
 	f := follow(t)
+	f.until("first watch", func() bool { return f.store.Calls() >= callsOfFirstWatch })
 	f.store.SetMode(store.Silent)
 	f.store.Delete("servers/i-2")
 	f.store.DropHistory()
@@ -109,6 +118,18 @@
 	f.until("removal", func() bool { return f.usable() == 4 })
 }
 
+// TestWatchOfSilentStore guards against a watch that a silent store never answers and that is waited for after the store
+// is back. It is given up 3.2 s after its start, and the entry that is missing then may come back for LapseGrace.
+func TestWatchOfSilentStore(t *testing.T) {
+	f := follow(t)
+	f.until("first watch", func() bool { return f.store.Calls() >= callsOfFirstWatch })
+	f.store.SetMode(store.Silent)
+	f.store.Delete("servers/i-2")
+	time.Sleep(100 * time.Millisecond)
+	f.store.SetMode(store.Up)
+	f.within(3200*time.Millisecond+targetset.LapseGrace+time.Second, "removal", func() bool { return f.usable() == 4 })
+}
+
 // TestOutageKeepsTargets guards against targets that are dropped because the store is away, and against lapsed entries
 // that take the targets away before they could register again.
 func TestOutageKeepsTargets(t *testing.T) {
