Remove headers and members that are decoded and read by nobody

The upper bound of output tokens, the length hint, the caller's last event (which is passed on with its headers) and the target at fault were decoded for each request; the list of ranks by engine had no caller left.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 
@@ -75,14 +74,3 @@
 	}
 	return n >= maxReaders
 }
-
-// Ranks returns the known processes beside ranks, by the address of their engine.
-func (f *Fleet) Ranks() map[string]Rank {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make(map[string]Rank, len(f.ranks))
-	for r := range maps.Values(f.ranks) {
-		out[r.Engine] = r.Rank
-	}
-	return out
-}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -13,9 +13,6 @@
 	Key          string        // of the client account; empty without one
 	Wait         time.Duration // time that the client waits; 0 if unstated
 	PromptTokens int           // 0 if unstated
-	OutputTokens int           // upper bound; 0 if unstated
-	LengthHint   int           // the client's estimate of the output tokens; 0 if unstated
-	ResumeAfter  string        // id of the last event that the client has; empty at the start of a stream
 }
 
 // Forward is what a request states towards a target.
@@ -34,7 +31,6 @@
 	NotRun      bool   // the target promises not to have run the request, nor to run it later
 	OtherTarget bool   // another target has the address
 	Encoded     bool   // the body is not the target's own bytes
-	AtFault     string // target that the refusal names, if another one is to blame
 }
 
 // Dialect translates the headers of requests and answers.
