Count the requests in flight at a target once for each choice

A choice counted them for the sums of the groups and again for each target's score, over the reports of all entries, under the balancer's lock.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -138,11 +138,11 @@
 func (b *Balancer) pick(job *Job) (*Lease, Reason) {
 	now := b.now()
 	targets := job.Targets()
-	groups := b.loads(targets, now)
+	counts, groups := b.loads(targets, now)
 	var best *targetset.Target
 	bestScore := math.Inf(1)
 	reason := ReasonNoTargets
-	for _, t := range targets {
+	for i, t := range targets {
 		if job.Exclude[t.Incarnation()] {
 			continue
 		}
@@ -154,7 +154,7 @@
 			continue
 		}
 		reason = ReasonFull
-		score, ok := b.score(t, job, g, groups[g], now)
+		score, ok := b.score(t, job, counts[i], g, groups[g], now)
 		if ok && score < bestScore {
 			best, bestScore = t, score
 		}
@@ -172,9 +172,8 @@
 	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil}, ""
 }
 
-// score predicts how slow a target is with one more request, in seconds. ok is false if it has no place.
-func (b *Balancer) score(t *targetset.Target, job *Job, g *group, l *load, now time.Time) (float64, bool) {
-	n := b.inFlight(t, now)
+// score predicts how slow a target with n requests is with one more, in seconds. ok is false if it has no place.
+func (b *Balancer) score(t *targetset.Target, job *Job, n int, g *group, l *load, now time.Time) (float64, bool) {
 	far := b.distance(t)
 	e := job.engine()
 	if e == nil {
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -92,20 +92,21 @@
 	ranks    int
 }
 
-// loads adds up the requests in flight by group, with nil for targets of unknown group.
-func (b *Balancer) loads(targets []*targetset.Target, now time.Time) map[*group]*load {
-	out := map[*group]*load{}
-	for _, t := range targets {
+// loads returns the requests in flight at each target, and their sums by group, with nil for targets of unknown group.
+func (b *Balancer) loads(targets []*targetset.Target, now time.Time) ([]int, map[*group]*load) {
+	counts, groups := make([]int, len(targets)), map[*group]*load{}
+	for i, t := range targets {
 		g := b.groupOf(t, now)
-		l := out[g]
+		l := groups[g]
 		if l == nil {
 			l = &load{}
-			out[g] = l
+			groups[g] = l
 		}
-		l.requests += b.inFlight(t, now)
+		counts[i] = b.inFlight(t, now)
+		l.requests += counts[i]
 		l.ranks++
 	}
-	return out
+	return counts, groups
 }
 
 // passTime predicts the time of a pass of an engine of some pace with n requests, in a group whose ranks have mean requests
--- a/internal/rankgroup/plan.go
+++ b/internal/rankgroup/plan.go
@@ -32,13 +32,13 @@
 	if !ok {
 		return plan{}, false
 	}
-	shape := c.shape()
-	if expertmap.Imbalance(shape, c.current, loads, c.paces()) < minImbalance {
+	shape, paces := c.shape(), c.paces()
+	if expertmap.Imbalance(shape, c.current, loads, paces) < minImbalance {
 		return plan{}, false
 	}
 	part := c.loadPart()
 	next := expertmap.Increment{
-		Shape: shape, Loads: loads, Current: c.current, Pace: c.paces(), NewPerRank: max(1, int(1/part)),
+		Shape: shape, Loads: loads, Current: c.current, Pace: paces, NewPerRank: max(1, int(1/part)),
 		NewPerLayer: max(1, c.engine.Experts.NewPerLayer), MinGain: minLoadGain * part,
 	}.Make()
 	if next.Before-next.After < max(minGain, minRoundGain*part*float64(next.Most)) {
