--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -378,7 +378,7 @@
 		job := modelJob(list)
 		started := time.Now()
 		_, r := b.Acquire(context.Background(), job)
-		if r == nil || r.Reason != ReasonClosed || r.RetryAfter > closedWait || time.Since(started) > 0 {
+		if r == nil || r.Reason != ReasonClosed || r.RetryAfter > ReopenTime || time.Since(started) > 0 {
 			t.Errorf("first caller: %+v after %v", r, time.Since(started))
 		}
 		go func() {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -105,14 +105,14 @@
 // power and the forming of groups after it take less.
 const closedPatience = 5 * time.Second
 
-// closedWait is when a caller may come back that found all targets closed: a group that lost a rank has formed anew by
-// then.
-const closedWait = time.Second
+// ReopenTime is the time in which a group that lost a rank forms anew: callers that found targets closed, or that targets
+// refused, may come back by then.
+const ReopenTime = time.Second
 
 func refusal(job *Job, reason Reason) *Refusal {
 	r := &Refusal{reason, comeBack(job)}
 	if reason == ReasonClosed {
-		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(closedWait)*(1-returnSpread*rand.Float64())))
+		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(ReopenTime)*(1-returnSpread*rand.Float64())))
 	}
 	return r
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,14 +183,9 @@
 	return false
 }
 
-const (
-	// longestRefusedWait is when a caller may come back whose request targets refused: a group that lost a rank has formed
-	// anew by then.
-	longestRefusedWait = time.Second
-)
-
+// refusedWait is when a caller may come back whose request targets refused.
 func (x *exchange) refusedWait() time.Duration {
-	return min(longestRefusedWait, time.Duration(balance.HonouredShare*float64(time.Until(x.expires))))
+	return min(balance.ReopenTime, time.Duration(balance.HonouredShare*float64(time.Until(x.expires))))
 }
 
 // giveUp answers a request for which no further attempt is made.
