rankgroup: call the ranks of a large group through relays

Readings and maps of all ranks went over the link of the coordinator's VM.

Change: a coordinator of 24 ranks or more divides the ranks into branches of about the root of their number, within one data centre, and calls one rank of each branch, which calls the others and adds up the counts. If a relay does not answer or does not know a rank, its branch is called directly and the next rank becomes the relay. Orders keep their fencing numbers by rank.

--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -35,6 +35,8 @@
 	Group   string `json:"g"` // name of the engine group
 	Rank    int    `json:"r"`
 	Size    int    `json:"z"` // number of ranks in the group
+	// DataCentre is the data centre of the process.
+	DataCentre string `json:"dc,omitempty"`
 }
 
 // Heartbeat is the message that two entries send each other as request and reply of methodExchange.
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -69,15 +69,17 @@
 	r.agent = rankgroup.NewAgent(r.engine, r.started.UnixNano())
 	r.client = &fleet.RankClient{Seeds: s.Seeds, Pool: r.peers}
 	r.self = fleet.Rank{Name: s.Name, Control: net.JoinHostPort(s.IP, strconv.Itoa(s.Ports.First)), Started: r.started.UnixNano(),
-		Engine: s.LocalEngine, Rank: -1}
+		Engine: s.LocalEngine, Rank: -1, DataCentre: s.DataCentre}
 	return r
 }
 
 // Names of the RPC methods that the processes beside ranks serve.
 const (
-	methodRead    = "rank.read"
-	methodOrder   = "rank.order"
-	methodExperts = "rank.experts"
+	methodRead        = "rank.read"
+	methodOrder       = "rank.order"
+	methodExperts     = "rank.experts"
+	methodReadBranch  = "rank.read-branch"
+	methodOrderBranch = "rank.order-branch"
 )
 
 // run serves the coordinators of the group, and registers with the entries until ctx ends.
@@ -89,6 +91,9 @@
 	server := peer.NewServer()
 	server.Handle(methodRead, peer.TypedHandler(r.agent.Read))
 	server.Handle(methodOrder, peer.TypedHandler(r.agent.Order))
+	relay := rankgroup.Relay{Ranks: r, Knows: r.knowsRank}
+	server.Handle(methodReadBranch, peer.TypedHandler(relay.Read))
+	server.Handle(methodOrderBranch, peer.TypedHandler(relay.Order))
 	server.Handle(methodExperts, peer.TypedHandler(func(ctx context.Context, _ struct{}) ([][]int, error) { return r.engine.Experts(ctx) }))
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -164,7 +169,7 @@
 func (r *rank) startCoordinator(ctx context.Context, self fleet.Rank) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	c := rankgroup.NewCoordinator(rankgroup.Options{
-		Rank: self.Rank, Size: self.Size, Ranks: r, Engine: r.loadEngineConfig, SendReport: func(s rankgroup.Report) { r.sendGroupState(ctx, self, s) },
+		Rank: self.Rank, Size: self.Size, Ranks: r, DataCentre: r.dataCentre, Engine: r.loadEngineConfig, SendReport: func(s rankgroup.Report) { r.sendGroupState(ctx, self, s) },
 		Notify: logGroup(self.Group), Now: time.Now, Active: func() bool { return r.isCoordinator(self.Rank) },
 	})
 	go c.Run(ctx)
--- a/internal/node/ranklink.go
+++ b/internal/node/ranklink.go
@@ -26,6 +26,18 @@
 	return other, ok
 }
 
+// knowsRank reports whether a process beside rank i is known.
+func (r *rank) knowsRank(i int) bool {
+	_, ok := r.findRank(i)
+	return ok
+}
+
+// dataCentre returns the data centre of rank i, or nothing while no process beside it is known.
+func (r *rank) dataCentre(i int) string {
+	other, _ := r.findRank(i)
+	return other.DataCentre
+}
+
 // Read reads the state of a rank through the process beside it, where calls to the engine cost nothing. If that process
 // does not answer, Read asks the engine directly, for its status only.
 func (r *rank) Read(ctx context.Context, i int, in rankgroup.ReadRequest) (rankgroup.ReadReply, error) {
@@ -90,3 +102,23 @@
 	}
 	return r.adapters.Engine(other.Engine).Experts(ctx)
 }
+
+// ReadBranch reads several ranks through the process beside one of them.
+func (r *rank) ReadBranch(ctx context.Context, relay int, in rankgroup.BranchReadRequest) (out rankgroup.BranchReadReply, err error) {
+	err = r.callRelay(ctx, relay, methodReadBranch, in, &out)
+	return out, err
+}
+
+// OrderBranch sends an order to several ranks through the process beside one of them.
+func (r *rank) OrderBranch(ctx context.Context, relay int, in rankgroup.BranchOrderRequest) (out rankgroup.BranchOrderReply, err error) {
+	err = r.callRelay(ctx, relay, methodOrderBranch, in, &out)
+	return out, err
+}
+
+func (r *rank) callRelay(ctx context.Context, relay int, method string, in, out any) error {
+	other, ok := r.findRank(relay)
+	if !ok {
+		return errUnknownRank
+	}
+	return r.peers.Call(ctx, other.Control, method, in, out)
+}
--- /dev/null
+++ b/internal/rankgroup/branch.go
@@ -0,0 +1,160 @@
+package rankgroup
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"time"
+)
+
+// minRelayedSize is the number of ranks from which on a coordinator calls the ranks through relays.
+const minRelayedSize = 24
+
+// branch is a part of the ranks that the coordinator calls through one of them, the relay.
+type branch struct {
+	ranks []int
+	relay int // index of the relay in ranks
+}
+
+// directBranch returns a branch that the coordinator calls without a relay.
+func directBranch(ranks ...int) *branch { return &branch{ranks: ranks, relay: -1} }
+
+// makeBranches divides the ranks of a group. The ranks of a branch are in one data centre, so that most calls stay
+// within it. The number of branches and the size of a branch are both about the root of the number of ranks. The
+// coordinator calls the branch of its own rank without a relay.
+func makeBranches(size, own int, dataCentre func(rank int) string) []*branch {
+	ranks := make([]int, size)
+	for r := range ranks {
+		ranks[r] = r
+	}
+	if size < minRelayedSize {
+		return []*branch{directBranch(ranks...)}
+	}
+	slices.SortStableFunc(ranks, func(a, b int) int { return cmp.Compare(dataCentre(a), dataCentre(b)) })
+	limit := int(math.Ceil(math.Sqrt(float64(size))))
+	var out []*branch
+	for len(ranks) > 0 {
+		n := 1
+		for n < min(limit, len(ranks)) && dataCentre(ranks[n]) == dataCentre(ranks[0]) {
+			n++
+		}
+		b := &branch{ranks: ranks[:n:n]}
+		if n == 1 || slices.Contains(b.ranks, own) {
+			b.relay = -1
+		}
+		out, ranks = append(out, b), ranks[n:]
+	}
+	return out
+}
+
+// useNextRelay replaces a relay that has not answered.
+func (b *branch) useNextRelay() { b.relay = (b.relay + 1) % len(b.ranks) }
+
+// divideRanks divides the ranks into branches, given what is now known about where they are.
+func (c *Coordinator) divideRanks() {
+	c.branches = makeBranches(c.opt.Size, c.opt.Rank, c.opt.DataCentre)
+}
+
+// reading is what the coordinator has read from all ranks.
+type reading struct {
+	replies   []ReadReply // by rank
+	malformed []error     // by rank: why its counts could not be decoded, or nil
+	sums      [][]float64 // growth of the counts, added up over the ranks of each relayed branch; nil for other branches
+}
+
+// readBranches reads all ranks. It updates c.answered.
+func (c *Coordinator) readBranches(ctx context.Context, statusOnly bool) reading {
+	out := reading{replies: make([]ReadReply, c.opt.Size), malformed: make([]error, c.opt.Size), sums: make([][]float64, len(c.branches))}
+	forEach(len(c.branches), func(i int) {
+		b := c.branches[i]
+		if b.relay >= 0 {
+			if c.readThroughRelay(ctx, b, statusOnly, &out, i) {
+				return
+			}
+			b.useNextRelay()
+		}
+		forEach(len(b.ranks), func(k int) { c.readDirectly(ctx, b.ranks[k], statusOnly, &out) })
+	})
+	return out
+}
+
+// readDirectly reads one rank.
+func (c *Coordinator) readDirectly(ctx context.Context, rank int, statusOnly bool, out *reading) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, HaveSnapshot: c.snapshots[rank], StatusOnly: statusOnly,
+		Layers: c.layers()})
+	c.answered[rank] = err == nil
+	out.replies[rank] = reply
+}
+
+// readThroughRelay reads the ranks of the i-th branch through its relay. It returns false if the relay did not answer.
+func (c *Coordinator) readThroughRelay(ctx context.Context, b *branch, statusOnly bool, out *reading, i int) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	request := BranchReadRequest{Ranks: b.ranks, Coordinator: c.opt.Rank, StatusOnly: statusOnly, Layers: c.layers(), Experts: c.experts()}
+	if !statusOnly {
+		for _, rank := range b.ranks {
+			request.HaveSnapshots = append(request.HaveSnapshots, c.snapshots[rank])
+		}
+	}
+	reply, err := c.opt.Ranks.ReadBranch(ctx, b.ranks[b.relay], request)
+	if err != nil || len(reply.Ranks) != len(b.ranks) {
+		return false
+	}
+	for k, rank := range b.ranks {
+		r := reply.Ranks[k]
+		c.answered[rank] = r.Answered
+		out.replies[rank] = ReadReply{Status: r.Status, Number: r.Number}
+		if r.Malformed != "" {
+			out.malformed[rank] = errors.New(r.Malformed)
+		}
+	}
+	if len(reply.Sum) > 0 {
+		if out.sums[i], err = decodeSums(reply.Sum, c.layers(), c.experts()); err != nil {
+			out.malformed[b.ranks[b.relay]] = err
+		}
+	}
+	return true
+}
+
+// orderAll sends an order to all ranks.
+func (c *Coordinator) orderAll(ctx context.Context, o Order, limit time.Duration) []OrderResult {
+	out := make([]OrderResult, c.opt.Size)
+	forEach(len(c.branches), func(i int) {
+		b := c.branches[i]
+		if b.relay >= 0 {
+			if c.orderThroughRelay(ctx, b, o, limit, out) {
+				return
+			}
+			b.useNextRelay()
+		}
+		forEach(len(b.ranks), func(k int) { out[b.ranks[k]] = c.order(ctx, b.ranks[k], o, limit) })
+	})
+	if slices.Contains(out, ResultFenced) {
+		c.needsNewTerm = true
+	}
+	return out
+}
+
+// orderThroughRelay sends an order to the ranks of a branch through its relay. It returns false if the relay did not
+// answer. The order may then have been carried out, which a later order with higher fencing numbers supersedes.
+func (c *Coordinator) orderThroughRelay(ctx context.Context, b *branch, o Order, limit time.Duration, out []OrderResult) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit+readTimeout)
+	defer cancel()
+	o.Epoch = c.epoch
+	request := BranchOrderRequest{Order: o, Map: c.encodedMap, Ranks: b.ranks, TimeoutMs: limit.Milliseconds()}
+	for _, rank := range b.ranks {
+		request.Fences = append(request.Fences, c.nextFence(rank))
+	}
+	reply, err := c.opt.Ranks.OrderBranch(ctx, b.ranks[b.relay], request)
+	if err != nil || len(reply.Results) != len(b.ranks) {
+		return false
+	}
+	for k, rank := range b.ranks {
+		out[rank] = reply.Results[k]
+	}
+	return true
+}
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/expertmap"
@@ -18,6 +17,9 @@
 	Order(ctx context.Context, rank int, r OrderRequest) (OrderReply, error)
 	// Experts returns the experts that a rank holds, by layer.
 	Experts(ctx context.Context, rank int) ([][]int, error)
+	// ReadBranch and OrderBranch call the Relay of a rank. They fail if its agent does not answer.
+	ReadBranch(ctx context.Context, relay int, r BranchReadRequest) (BranchReadReply, error)
+	OrderBranch(ctx context.Context, relay int, r BranchOrderRequest) (BranchOrderReply, error)
 }
 
 // Options configures a Coordinator.
@@ -25,6 +27,7 @@
 	Rank       int // rank of this process
 	Size       int // number of ranks
 	Ranks      Ranks
+	DataCentre func(rank int) string     // data centre of a rank; empty while it is unknown
 	Engine     func() *routetable.Engine // properties of the engines; returns nil while they are unknown
 	SendReport func(Report)              // sends the state of the group to the entries; must not block
 	Notify     func(Event)               // receives each event; must not block
@@ -69,10 +72,15 @@
 }
 
 const (
-	// idleInterval is the shortest time between two readings of the group while no map is loaded. In a large group this
-	// time is intervalPerRank times the number of ranks. Both limit the bytes that readings transfer.
-	idleInterval    = 60 * time.Millisecond
-	intervalPerRank = 3 * time.Millisecond
+	// idleInterval is the shortest time between two readings of the group while no map is loaded. If many branches are
+	// read, this time is intervalPerBranch times their number. Both limit the bytes that readings transfer.
+	idleInterval      = 60 * time.Millisecond
+	intervalPerBranch = 6 * time.Millisecond
+	// switchPollInterval is the time between two readings of the own rank while the step of a switch is awaited.
+	switchPollInterval = 20 * time.Millisecond
+	// maxSwitchWait limits the wait for the step of a switch before the group is read again. An idle group begins no
+	// steps.
+	maxSwitchWait = 300 * time.Millisecond
 	// loadPollInterval is the time between two readings while a map is loaded.
 	loadPollInterval = 30 * time.Millisecond
 	// readTimeout limits one reading of a rank.
@@ -100,12 +108,15 @@
 	estimate   *popularity
 	engine     *routetable.Engine
 	encodedMap []byte // map of the order that is being sent; nil for orders without one
+	branches   []*branch
 }
 
 // NewCoordinator returns a coordinator. It knows nothing about the group until Run has read it.
 func NewCoordinator(opt Options) *Coordinator {
-	return &Coordinator{opt: opt, snapshots: make([]int64, opt.Size), status: make([]Status, opt.Size), answered: make([]bool, opt.Size),
+	c := &Coordinator{opt: opt, snapshots: make([]int64, opt.Size), status: make([]Status, opt.Size), answered: make([]bool, opt.Size),
 		orders: make([]int64, opt.Size), needsNewTerm: true, epoch: -1}
+	c.divideRanks()
+	return c
 }
 
 // Run coordinates the group until ctx ends.
@@ -118,7 +129,7 @@
 		}
 		c.round(ctx)
 		if !c.urgent {
-			c.sleep(ctx, max(idleInterval, intervalPerRank*time.Duration(c.opt.Size)))
+			c.sleep(ctx, max(idleInterval, 3*time.Millisecond*time.Duration(c.opt.Size)))
 		}
 	}
 }
@@ -167,73 +178,52 @@
 
 func (c *Coordinator) read(ctx context.Context, statusOnly bool) bool {
 	c.engine = c.opt.Engine()
-	replies := make([]ReadReply, c.opt.Size)
-	c.forEachRank(func(rank int) {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, HaveSnapshot: c.snapshots[rank], StatusOnly: statusOnly,
-			Layers: c.layers()})
-		c.answered[rank] = err == nil
-		replies[rank] = reply
-	})
-	c.applyReplies(replies, c.opt.Now(), statusOnly)
+	c.applyReading(c.readBranches(ctx, statusOnly), c.opt.Now(), statusOnly)
 	c.opt.SendReport(c.report())
 	return c.allOpen()
 }
 
-// forEachRank calls f for all ranks concurrently and waits until all calls have returned.
-func (c *Coordinator) forEachRank(f func(rank int)) {
-	var wg sync.WaitGroup
-	for rank := range c.opt.Size {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f(rank)
-		}()
-	}
-	wg.Wait()
-}
-
-// applyReplies stores the replies of a reading and updates what is derived from them.
-func (c *Coordinator) applyReplies(replies []ReadReply, now time.Time, statusOnly bool) {
-	for rank, r := range replies {
+// applyReading stores a reading and updates what is derived from it.
+func (c *Coordinator) applyReading(r reading, now time.Time, statusOnly bool) {
+	for rank, reply := range r.replies {
 		if !c.answered[rank] {
 			c.status[rank] = Status{}
 			continue
 		}
-		c.status[rank] = r.Status
-		c.version = max(c.version, r.Status.Map, r.Status.Prepared, r.Status.Armed)
+		c.status[rank] = reply.Status
+		c.version = max(c.version, reply.Status.Map, reply.Status.Prepared, reply.Status.Armed)
 	}
 	c.updateEpoch()
 	if !statusOnly {
 		if c.estimate != nil {
 			c.estimate.decay(now)
 		}
-		c.addCounts(replies)
+		c.addCounts(r)
 	}
 }
 
 // addCounts adds the growth of the counts since the last reading to the popularity estimate.
-func (c *Coordinator) addCounts(replies []ReadReply) {
+func (c *Coordinator) addCounts(r reading) {
 	var sum []float64
-	for rank, r := range replies {
+	for rank, reply := range r.replies {
 		if !c.answered[rank] {
 			continue
 		}
-		c.snapshots[rank] = r.Number
-		if c.estimate == nil || len(r.Since) == 0 {
-			continue
+		c.snapshots[rank] = reply.Number
+		err := r.malformed[rank]
+		if c.estimate != nil && len(reply.Since) > 0 {
+			var chosen []float64
+			if chosen, err = decodeCounts(reply.Since, c.estimate.shape.Layers, c.estimate.shape.Experts); err == nil {
+				sum = addTo(sum, chosen)
+			}
 		}
-		chosen, err := decodeCounts(r.Since, c.estimate.shape.Layers, c.estimate.shape.Experts)
 		if err != nil {
 			c.opt.Notify(Event{Kind: EventMalformed, Epoch: c.epoch, Rank: rank, Err: err})
-			continue
 		}
-		if sum == nil {
-			sum = make([]float64, len(chosen))
-		}
-		for i, n := range chosen {
-			sum[i] += n
+	}
+	for _, branchSum := range r.sums {
+		if c.estimate != nil && len(branchSum) > 0 {
+			sum = addTo(sum, branchSum)
 		}
 	}
 	if sum != nil && c.estimate.add(sum) {
@@ -266,6 +256,14 @@
 	return c.engine.Experts.Layers
 }
 
+// experts returns the number of experts in each layer, or 0 while it is unknown.
+func (c *Coordinator) experts() int {
+	if c.engine == nil {
+		return 0
+	}
+	return c.engine.Experts.Count
+}
+
 func (c *Coordinator) shape() expertmap.Shape {
 	x := c.engine.Experts
 	return expertmap.Shape{Ranks: c.opt.Size, Layers: x.Layers, Experts: x.Count, SlotsPerRank: x.SlotsPerRank}
@@ -282,6 +280,16 @@
 	return c.estimate != nil
 }
 
+// awaitSwitch waits until the own rank uses the pending map, for maxSwitchWait at most.
+func (c *Coordinator) awaitSwitch(ctx context.Context) {
+	for end := c.opt.Now().Add(maxSwitchWait); ctx.Err() == nil && c.opt.Now().Before(end); {
+		c.sleep(ctx, switchPollInterval)
+		if s, err := c.readOwn(ctx); err == nil && (s.Map == c.pending || s.Epoch != c.epoch) {
+			return
+		}
+	}
+}
+
 // checkPending clears the pending version once all ranks use it. An idle group begins no steps, so this may take any
 // time. Nothing may be cancelled until then: the ranks are read at slightly different times, so that only some of them
 // may seem to be armed.
@@ -312,7 +320,7 @@
 	}
 	lists := make([][][]int, c.opt.Size)
 	failed := make([]bool, c.opt.Size)
-	c.forEachRank(func(rank int) {
+	forEach(c.opt.Size, func(rank int) {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		var err error
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -15,27 +15,40 @@
 // testFleet runs coordinators for one group and counts their switches.
 type testFleet struct {
 	t        *testing.T
+	size     testSize
 	g        *expertgroup.Group
 	agents   []*Agent
+	links    []*testLink // by rank; nil for links without a limit
 	switched atomic.Int64
+	notify   func(Event) // receives each event in addition; may be nil
 }
 
-func newTestFleet(t *testing.T, seed uint64) *testFleet {
-	g := newTestGroup(rand.New(rand.NewPCG(seed, 1)))
+func newTestFleet(t *testing.T, seed uint64, size testSize) *testFleet {
+	g := expertgroup.New(rand.New(rand.NewPCG(seed, 1)), size.shape)
 	g.Trace = func(string, ...any) {}
-	return &testFleet{t: t, g: g, agents: newAgents(g)}
+	f := &testFleet{t: t, size: size, g: g, agents: newAgents(g)}
+	if size.bytesPerSecond > 0 {
+		for range g.Ranks {
+			f.links = append(f.links, &testLink{bytesPerSecond: size.bytesPerSecond})
+		}
+	}
+	return f
 }
 
 // coordinate runs a coordinator beside the rank until ctx ends. unreachable reports the ranks whose agents the
 // coordinator cannot reach.
 func (f *testFleet) coordinate(ctx context.Context, rank int, active func() bool, unreachable func(int) bool) {
+	engine := f.size.engine()
 	c := NewCoordinator(Options{
-		Rank: rank, Size: testRanks, Ranks: newTestLinks(f.g, f.agents, rank, unreachable), Now: testNow, Active: active,
-		Engine: func() *routetable.Engine { return testEngine }, SendReport: func(Report) {},
+		Rank: rank, Size: len(f.g.Ranks), Ranks: newTestLinks(f.g, f.agents, f.links, rank, unreachable), DataCentre: testDataCentre, Now: testNow, Active: active,
+		Engine: func() *routetable.Engine { return engine }, SendReport: func(Report) {},
 		Notify: func(e Event) {
 			if e.Kind == EventSwitched {
 				f.switched.Add(1)
 			}
+			if f.notify != nil {
+				f.notify(e)
+			}
 			f.g.Trace("coordinator of rank %d: %+v", rank, e)
 		},
 	})
@@ -48,6 +61,9 @@
 // testNow returns a time after termEpochUnixMs. The clock of synctest starts in the year 2000.
 func testNow() time.Time { return time.Now().AddDate(27, 0, 0) }
 
+// testDataCentre spreads the ranks over three data centres.
+func testDataCentre(rank int) string { return string(rune('a' + rank%3)) }
+
 func always() bool   { return true }
 func never(int) bool { return false }
 
@@ -63,7 +79,7 @@
 // faults.
 func TestMapFollowsPopularity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 1)
+		f := newTestFleet(t, 1, smallSize)
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
 		go f.coordinate(ctx, 0, always, never)
@@ -85,14 +101,19 @@
 // TestNoStepWithTwoMaps guards against a step in which two ranks use different maps. Orders are carried out late,
 // coordinators are killed and restarted in any phase, two of them run at once, and ranks are unreachable for some time.
 func TestNoStepWithTwoMaps(t *testing.T) {
-	seeds := uint64(80)
+	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, 80, 20) })
+	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, 40, 8) })
+}
+
+// checkNoStepWithTwoMaps runs a group under faults, with as many seeds as given for long and for short tests.
+func checkNoStepWithTwoMaps(t *testing.T, size testSize, seeds, shortSeeds uint64) {
 	if testing.Short() {
-		seeds = 20
+		seeds = shortSeeds
 	}
 	switched := int64(0)
 	for seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
-			f := newTestFleet(t, seed)
+			f := newTestFleet(t, seed, size)
 			f.g.Late = lateOrderShare(seed)
 			f.runWithFaults(seed, 40*time.Second)
 			f.checkNoMixedStep(seed)
@@ -116,7 +137,7 @@
 		life := time.Duration(300+rng.IntN(6000)) * time.Millisecond
 		first, stop := context.WithTimeout(ctx, life)
 		rank := rng.IntN(2)
-		unreachableRank := rng.IntN(2 * testRanks)
+		unreachableRank := rng.IntN(2 * len(f.g.Ranks))
 		go f.coordinate(first, rank, always, func(r int) bool { return r == unreachableRank })
 		if rng.IntN(3) == 0 { // a second coordinator, which assumes that the first one has stopped
 			second, stopSecond := context.WithTimeout(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
@@ -135,8 +156,8 @@
 func (f *testFleet) injectFaults(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(1000+rng.IntN(3000)) * time.Millisecond)
-		f.g.SetPopular(rng.IntN(testExperts - 1))
-		r := f.g.Ranks[rng.IntN(testRanks)]
+		f.g.SetPopular(rng.IntN(f.size.shape.Experts - 1))
+		r := f.g.Ranks[rng.IntN(len(f.g.Ranks))]
 		r.SetUnresponsive(rng.IntN(4) == 0)
 		breaks := rng.IntN(8) == 0
 		if breaks {
@@ -154,9 +175,9 @@
 // the hold and its release.
 func TestHoldOfKilledCoordinatorEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 7)
+		f := newTestFleet(t, 7, smallSize)
 		held := f.g.Step() + 3
-		same := make([][][]int, testLayers)
+		same := make([][][]int, f.size.shape.Layers)
 		for l := range same {
 			for _, r := range f.g.Ranks {
 				same[l] = append(same[l], r.Experts()[l])
@@ -193,7 +214,7 @@
 	broken := 0
 	for seed := uint64(0); seed < 400 && broken == 0; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			f := newTestFleet(t, seed)
+			f := newTestFleet(t, seed, smallSize)
 			f.g.Late, f.g.Unfenced = 0.35, true
 			f.runWithFaults(seed, 40*time.Second)
 			if f.g.MixedMaps() != nil {
--- a/internal/rankgroup/encode.go
+++ b/internal/rankgroup/encode.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 // The links of the VMs beside engines carry only a few megabits per second, and a coordinator communicates with all
@@ -50,12 +52,11 @@
 
 // appendLayer appends the scale of a layer and its counts, four bits each.
 func appendLayer(out []byte, growth []float64, level float64) []byte {
-	bits := math.Float32bits(float32(level))
-	out = append(out, byte(bits>>24), byte(bits>>16), byte(bits>>8), byte(bits))
+	out = binary.BigEndian.AppendUint32(out, math.Float32bits(float32(level)))
 	for e := 0; e < len(growth); e += 2 {
-		b := quantize(growth[e], level) << 4
+		b := quantize(growth[e], level, countLevels) << 4
 		if e+1 < len(growth) {
-			b |= quantize(growth[e+1], level)
+			b |= quantize(growth[e+1], level, countLevels)
 		}
 		out = append(out, b)
 	}
@@ -63,25 +64,25 @@
 }
 
 // quantize returns the level of a count, rounded up or down at random.
-func quantize(n, level float64) byte {
+func quantize(n, level float64, levels int) byte {
 	if level <= 0 {
 		return 0
 	}
-	return byte(min(countLevels-1, math.Floor(n/level+rand.Float64())))
+	return byte(min(float64(levels-1), math.Floor(n/level+rand.Float64())))
 }
 
 // decodeCounts decodes the growth of the counts of all layers.
 func decodeCounts(data []byte, layers, experts int) ([]float64, error) {
 	size := scaleBytes + (experts+1)/2
-	if len(data) != layers*size {
+	if layers <= 0 || len(data) != layers*size {
 		return nil, errMalformedCounts
 	}
 	out := make([]float64, 0, layers*experts)
 	for l := range layers {
 		row := data[l*size : (l+1)*size]
-		level := float64(math.Float32frombits(uint32(row[0])<<24 | uint32(row[1])<<16 | uint32(row[2])<<8 | uint32(row[3])))
-		if !(level >= 0) || math.IsInf(level, 1) {
-			return nil, errMalformedCounts
+		level, err := decodeLevel(row)
+		if err != nil {
+			return nil, err
 		}
 		for e := range experts {
 			b := row[scaleBytes+e/2]
@@ -94,6 +95,56 @@
 	return out, nil
 }
 
+// sumLevels is the number of values that an encoded sum of counts can have. It is larger than countLevels because the
+// rounding errors of a sum are not averaged out over the ranks of its branch.
+const sumLevels = 256
+
+// encodeSums encodes counts that were added up over several ranks, layer by layer. It returns nil if there are none.
+func encodeSums(sums []float64, layers int) []byte {
+	if layers <= 0 || len(sums) == 0 || len(sums)%layers != 0 {
+		return nil
+	}
+	experts := len(sums) / layers
+	out := make([]byte, 0, layers*(scaleBytes+experts))
+	for l := range layers {
+		row := sums[l*experts : (l+1)*experts]
+		level := slices.Max(row) / (sumLevels - 1)
+		out = binary.BigEndian.AppendUint32(out, math.Float32bits(float32(level)))
+		for _, n := range row {
+			out = append(out, quantize(n, level, sumLevels))
+		}
+	}
+	return out
+}
+
+// decodeSums decodes the result of encodeSums.
+func decodeSums(data []byte, layers, experts int) ([]float64, error) {
+	size := scaleBytes + experts
+	if layers <= 0 || len(data) != layers*size {
+		return nil, errMalformedCounts
+	}
+	out := make([]float64, 0, layers*experts)
+	for row := range slices.Chunk(data, size) {
+		level, err := decodeLevel(row)
+		if err != nil {
+			return nil, err
+		}
+		for _, b := range row[scaleBytes:] {
+			out = append(out, level*float64(b))
+		}
+	}
+	return out, nil
+}
+
+// decodeLevel decodes the count that one level of a row stands for.
+func decodeLevel(row []byte) (float64, error) {
+	level := float64(math.Float32frombits(binary.BigEndian.Uint32(row)))
+	if !(level >= 0) || math.IsInf(level, 1) {
+		return 0, errMalformedCounts
+	}
+	return level, nil
+}
+
 var errMalformedMap = errors.New("map is malformed")
 
 // maxMapBytes limits a decoded map. It is enough for 128 ranks with 128 slots in each of 64 layers.
--- a/internal/rankgroup/engine.go
+++ b/internal/rankgroup/engine.go
@@ -41,6 +41,11 @@
 	Pace        float64 `json:"x,omitempty"` // above 1 if the engine takes longer than others for the same work
 }
 
+// essential returns the fields that a coordinator needs. The others are left out of what a relay sends.
+func (s Status) essential() Status {
+	return Status{Epoch: s.Epoch, Open: s.Open, Step: s.Step, Map: s.Map, Prepared: s.Prepared, Armed: s.Armed, Held: s.Held, Pace: s.Pace}
+}
+
 // Counts holds how often the rank's requests have chosen each expert since the start of the engine.
 type Counts struct {
 	Step  int64
--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -2,31 +2,42 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
-	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/test/standin/expertgroup"
 )
 
-// The sizes and times are those of a small group of engines in use.
-const (
-	testRanks        = 4
-	testLayers       = 2
-	testExperts      = 8
-	testSlotsPerRank = 4
-	testStepTime     = 60 * time.Millisecond
+// testSize holds the sizes and times of a group and of the links between its VMs.
+type testSize struct {
+	shape          expertgroup.Shape
+	slotsPerRank   int
+	bytesPerSecond int // of the link of each VM; 0 for no limit
+}
+
+// smallSize is the size of a small group of engines in use, largeSize that of a large one.
+var (
+	smallSize = testSize{shape: expertgroup.Shape{Ranks: 4, Layers: 2, Experts: 8, StepTime: 60 * time.Millisecond, Load: expertLoadTime}, slotsPerRank: 4}
+	largeSize = testSize{shape: expertgroup.Shape{Ranks: 96, Layers: 16, Experts: 192, StepTime: 80 * time.Millisecond, Load: expertLoadTime},
+		slotsPerRank: 3, bytesPerSecond: 750_000}
+	// relayedSize is the smallest size with relays.
+	relayedSize = testSize{shape: expertgroup.Shape{Ranks: minRelayedSize, Layers: 1, Experts: 32, StepTime: 60 * time.Millisecond, Load: expertLoadTime},
+		slotsPerRank: 3}
 )
 
-var testEngine = &routetable.Engine{Experts: routetable.Experts{
-	Layers: testLayers, Count: testExperts, SlotsPerRank: testSlotsPerRank, NewPerLayer: 2, ExpertBytes: 1.7e9, LinkBandwidth: 92e9,
-}}
+// expertLoadTime is the time to load one expert, as testSize.engine states it.
+const expertLoadTime = 16 * time.Millisecond
 
-func newTestGroup(rng *rand.Rand) *expertgroup.Group {
-	return expertgroup.New(rng, expertgroup.Shape{
-		Ranks: testRanks, Layers: testLayers, Experts: testExperts, StepTime: testStepTime, Load: testEngine.Experts.LoadTime(),
-	})
+// engine returns the properties of the engines of the group.
+func (s testSize) engine() *routetable.Engine {
+	const linkBandwidth = 100e9 // bits per second
+	return &routetable.Engine{Experts: routetable.Experts{
+		Layers: s.shape.Layers, Count: s.shape.Experts, SlotsPerRank: s.slotsPerRank, NewPerLayer: 2,
+		ExpertBytes: linkBandwidth / 8 * expertLoadTime.Seconds(), LinkBandwidth: linkBandwidth,
+	}}
 }
 
 // testRank implements Engine for a rank of the stand-in group.
@@ -37,7 +48,7 @@
 		return Status{}, err
 	}
 	s := r.Rank.Status()
-	return Status{Group: "g", Epoch: s.Epoch, Rank: s.Index, Size: testRanks, Open: s.Open, StartedAtMs: 1, Step: s.Step, Map: s.Map,
+	return Status{Group: "g", Epoch: s.Epoch, Rank: s.Index, Size: len(r.Siblings()), Open: s.Open, StartedAtMs: 1, Step: s.Step, Map: s.Map,
 		Prepared: s.Prepared, Armed: s.Armed, Held: s.Held, Sequence: s.Orders, Active: 5, Pace: 1}, nil
 }
 
@@ -80,6 +91,42 @@
 	unreachable  func(rank int) bool
 	self         int
 	directAgents []*Agent
+	links        []*testLink // by rank; nil for links without a limit
+}
+
+// testLink is the link of one VM, which sends one message at a time.
+type testLink struct {
+	bytesPerSecond int
+	mu             sync.Mutex
+	freeAt         time.Time
+}
+
+// messageOverhead is the size in bytes of a message without its parameters or result.
+const messageOverhead = 150
+
+// send waits until a message has been sent over the link.
+func (l *testLink) send(message any) {
+	data, err := json.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	l.mu.Lock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Second * time.Duration(len(data)+messageOverhead) / time.Duration(l.bytesPerSecond))
+	until := l.freeAt
+	l.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// transfer waits until a message has been sent from one rank's VM to another one's.
+func (l *testLinks) transfer(from, to int, message any) {
+	if l.links == nil || from == to {
+		return
+	}
+	l.links[from].send(message)
+	l.links[to].send(message)
 }
 
 func (l *testLinks) Read(ctx context.Context, rank int, r ReadRequest) (ReadReply, error) {
@@ -87,13 +134,17 @@
 		s, err := testRank{l.g.Ranks[rank]}.Status(ctx)
 		return ReadReply{Status: s}, err
 	}
-	return l.agents[rank].Read(ctx, r)
+	l.transfer(l.self, rank, r)
+	reply, err := l.agents[rank].Read(ctx, r)
+	l.transfer(rank, l.self, reply)
+	return reply, err
 }
 
 func (l *testLinks) Order(ctx context.Context, rank int, r OrderRequest) (OrderReply, error) {
 	if rank != l.self && l.unreachable(rank) {
 		return l.directAgents[rank].Order(ctx, r)
 	}
+	l.transfer(l.self, rank, r)
 	return l.agents[rank].Order(ctx, r)
 }
 
@@ -101,8 +152,35 @@
 	return testRank{l.g.Ranks[rank]}.Experts(ctx)
 }
 
-func newTestLinks(g *expertgroup.Group, agents []*Agent, self int, unreachable func(int) bool) *testLinks {
-	l := &testLinks{g: g, agents: agents, self: self, unreachable: unreachable}
+// ReadBranch and OrderBranch run the relay beside the rank. Its links reach all ranks.
+func (l *testLinks) ReadBranch(ctx context.Context, relay int, r BranchReadRequest) (BranchReadReply, error) {
+	if l.unreachable(relay) {
+		return BranchReadReply{}, errTestUnreachable
+	}
+	l.transfer(l.self, relay, r)
+	reply, err := l.relay(relay).Read(ctx, r)
+	l.transfer(relay, l.self, reply)
+	return reply, err
+}
+
+func (l *testLinks) OrderBranch(ctx context.Context, relay int, r BranchOrderRequest) (BranchOrderReply, error) {
+	if l.unreachable(relay) {
+		return BranchOrderReply{}, errTestUnreachable
+	}
+	l.transfer(l.self, relay, r)
+	return l.relay(relay).Order(ctx, r)
+}
+
+var errTestUnreachable = errors.New("the agent cannot be reached")
+
+func (l *testLinks) relay(rank int) Relay {
+	links := *l
+	links.self = rank
+	return Relay{Ranks: &links, Knows: func(int) bool { return true }}
+}
+
+func newTestLinks(g *expertgroup.Group, agents []*Agent, links []*testLink, self int, unreachable func(int) bool) *testLinks {
+	l := &testLinks{g: g, agents: agents, links: links, self: self, unreachable: unreachable}
 	for _, r := range g.Ranks {
 		l.directAgents = append(l.directAgents, NewAgent(testRank{r}, 0))
 	}
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -40,10 +40,16 @@
 	c.needsNewTerm = false
 }
 
-// order sends an order to a rank.
-func (c *Coordinator) order(ctx context.Context, rank int, o Order, limit time.Duration) OrderResult {
+// nextFence returns the first fencing number of the next order to a rank.
+func (c *Coordinator) nextFence(rank int) int64 {
 	fence := c.term*fencesPerTerm + c.orders[rank]*FencesPerOrder
 	c.orders[rank]++
+	return fence
+}
+
+// order sends an order to a rank.
+func (c *Coordinator) order(ctx context.Context, rank int, o Order, limit time.Duration) OrderResult {
+	fence := c.nextFence(rank)
 	o.Epoch = c.epoch
 	ctx, cancel := context.WithTimeout(ctx, limit+readTimeout)
 	defer cancel()
@@ -54,18 +60,6 @@
 	return reply.Result
 }
 
-// orderAll sends an order to all ranks concurrently.
-func (c *Coordinator) orderAll(ctx context.Context, o Order, limit time.Duration) []OrderResult {
-	out := make([]OrderResult, c.opt.Size)
-	c.forEachRank(func(rank int) { out[rank] = c.order(ctx, rank, o, limit) })
-	for _, r := range out {
-		if r == ResultFenced {
-			c.needsNewTerm = true
-		}
-	}
-	return out
-}
-
 func allDone(results []OrderResult) bool {
 	for _, r := range results {
 		if r != ResultDone {
@@ -90,6 +84,7 @@
 		c.raiseTerm(results)
 		return false
 	}
+	c.divideRanks()
 	if !c.readAll(ctx) {
 		return false
 	}
@@ -156,7 +151,7 @@
 // disarm cancels the armed map of every rank that has one.
 func (c *Coordinator) disarm(ctx context.Context) bool {
 	results := make([]OrderResult, c.opt.Size)
-	c.forEachRank(func(rank int) {
+	forEach(c.opt.Size, func(rank int) {
 		results[rank] = ResultDone
 		if v := c.status[rank].Armed; v != 0 {
 			results[rank] = c.order(ctx, rank, Order{Op: OpDisarm, Version: v}, undoTimeout)
@@ -173,7 +168,7 @@
 // release releases the hold of every rank that has one.
 func (c *Coordinator) release(ctx context.Context) bool {
 	results := make([]OrderResult, c.opt.Size)
-	c.forEachRank(func(rank int) {
+	forEach(c.opt.Size, func(rank int) {
 		results[rank] = ResultDone
 		if held := c.status[rank].Held; held != nil {
 			results[rank] = c.order(ctx, rank, Order{Op: OpRelease, Step: *held}, undoTimeout)
--- a/internal/rankgroup/trace_test.go
+++ b/internal/rankgroup/trace_test.go
@@ -15,7 +15,7 @@
 		t.Skip("TRACE_SEED names no seed")
 	}
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, seed)
+		f := newTestFleet(t, seed, smallSize)
 		f.g.Late = lateOrderShare(seed)
 		start := time.Now()
 		f.g.Trace = func(format string, args ...any) {
--- a/test/standin/expertgroup/group.go
+++ b/test/standin/expertgroup/group.go
@@ -230,6 +230,9 @@
 	return step, epoch, counts
 }
 
+// Siblings returns all ranks of the rank's group.
+func (r *Rank) Siblings() []*Rank { return r.group.Ranks }
+
 // Experts returns the experts that the rank holds, with one list for each layer.
 func (r *Rank) Experts() (experts [][]int) {
 	r.group.withLock(func() { experts = slices.Clone(r.experts) })
