rankgroup: measure shifts of popularity against the usual noise

Cause: a shift was a reading that shared less than 0.72 of its choices with the estimate.

Change: the estimate knows the usual distance of a reading, and a reading counts as a shift if its distance is more than twice that and a little.

--- a/internal/rankgroup/large_test.go
+++ b/internal/rankgroup/large_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/expertmap"
 )
 
 // Limits of the time from a shift of popularity until all ranks of a large group have a map for it.
@@ -111,3 +114,43 @@
 		}
 	}
 }
+
+// TestShiftStandsOutFromNoise guards against a shift of popularity that goes unnoticed in a large group, where two
+// distributions share most of their choices, and against noise that counts as a shift in a small one.
+func TestShiftStandsOutFromNoise(t *testing.T) {
+	const experts = 64
+	for name, c := range map[string]struct {
+		choicesPerReading int
+		shiftedShare      float64 // share of the choices that a shift moves to other experts
+	}{
+		"large group, many choices": {100_000, 0.25},
+		"small group, few choices":  {1_500, 0.6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			reading := func(firstPopular int) []float64 {
+				out := make([]float64, experts)
+				for range c.choicesPerReading {
+					e := rng.IntN(experts)
+					if rng.Float64() < c.shiftedShare {
+						e = firstPopular + rng.IntN(4)
+					}
+					out[e]++
+				}
+				return out
+			}
+			p := newPopularity(expertmap.Shape{Ranks: 8, Layers: 1, Experts: experts, SlotsPerRank: 16})
+			at := time.Unix(0, 0)
+			for i := range 100 {
+				at = at.Add(80 * time.Millisecond)
+				p.decay(at)
+				if p.add(reading(8)) {
+					t.Errorf("reading %d counts as a shift", i)
+				}
+			}
+			if !p.add(reading(40)) {
+				t.Error("the shift was not noticed")
+			}
+		})
+	}
+}
--- a/internal/rankgroup/popularity.go
+++ b/internal/rankgroup/popularity.go
@@ -16,11 +16,12 @@
 	shape          expertmap.Shape
 	weightedCounts []float64 // choices of each expert, layer by layer, with the weights of earlier ones reduced
 	updatedAt      time.Time
+	usualDistance  float64 // mean distance of a reading from the estimate while the popularity does not shift
 }
 
 // newPopularity returns an estimate that knows no choices.
 func newPopularity(s expertmap.Shape) *popularity {
-	return &popularity{shape: s, weightedCounts: make([]float64, s.Layers*s.Experts)}
+	return &popularity{shape: s, weightedCounts: make([]float64, s.Layers*s.Experts), usualDistance: initialDistance}
 }
 
 // decay reduces the weight of earlier choices by the time since the last call.
@@ -50,22 +51,38 @@
 const (
 	// minChoices is the number of choices in a layer below which the popularity of its experts cannot be estimated.
 	minChoices = 200
-	// minOverlap is the overlap of two distributions below which they count as different. Readings of unchanged
-	// popularity overlap by more than 0.8.
-	minOverlap = 0.72
+	// initialDistance is assumed as the usual distance between two readings before any have been compared. It is that
+	// of a small group with few requests.
+	initialDistance = 0.12
+	// A reading whose distance from the estimate exceeds shiftDistanceFactor times the usual distance by more than
+	// minShiftDistance counts as a shift. The usual distance is the noise of the readings, which is lower the more
+	// requests a group serves.
+	shiftDistanceFactor = 2
+	minShiftDistance    = 0.04
+	// distanceWeight is the weight of one reading in the usual distance.
+	distanceWeight = 0.1
 )
 
-// hasShifted reports whether new choices differ from the estimate by more than noise.
+// hasShifted reports whether new choices differ from the estimate by more than noise. If they do not, it updates the
+// usual distance.
 func (p *popularity) hasShifted(chosen []float64) bool {
 	sum, layers := 0.0, 0
 	for l := range p.shape.Layers {
 		from, to := l*p.shape.Experts, (l+1)*p.shape.Experts
 		if common, ok := overlap(p.weightedCounts[from:to], chosen[from:to]); ok {
-			sum += common
+			sum += 1 - common
 			layers++
 		}
 	}
-	return layers > 0 && sum/float64(layers) < minOverlap
+	if layers == 0 {
+		return false
+	}
+	distance := sum / float64(layers)
+	if distance > shiftDistanceFactor*p.usualDistance+minShiftDistance {
+		return true
+	}
+	p.usualDistance += distanceWeight * (distance - p.usualDistance)
+	return false
 }
 
 // overlap returns the sum over all experts of the smaller of their two shares, from 0 to 1. ok is false if one of the
