rankgroup: guard switches of engines that ignore fencing numbers

Cause: the mooring deployments have engines that ignore fencing numbers.

Change: for such engines the coordinator leaves no state that a late order fits.

--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -171,6 +171,7 @@
 	c := rankgroup.NewCoordinator(rankgroup.Options{
 		Rank: self.Rank, Size: self.Size, Ranks: r, DataCentre: r.dataCentre, Engine: r.loadEngineConfig, SendReport: func(s rankgroup.Report) { r.sendGroupState(ctx, self, s) },
 		Notify: logGroup(self.Group), Now: time.Now, Active: func() bool { return r.isCoordinator(self.Rank) },
+		Unfenced: !r.settings.Bounds.FencingChecks,
 	})
 	go c.Run(ctx)
 	return cancel
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -33,6 +33,7 @@
 	Notify     func(Event)               // receives each event; must not block
 	Now        func() time.Time
 	Active     func() bool // reports whether this process coordinates the group now
+	Unfenced   bool        // the engines ignore fencing numbers
 }
 
 // Report is the state of the group, for the processes that send requests to it.
@@ -94,6 +95,7 @@
 	termMs       int64 // time part of the term, in milliseconds since termEpochUnixMs
 	term         int64
 	orders       []int64 // orders sent in this term, by rank
+	termStep     int64   // last step that the group had begun at the start of this term
 	needsNewTerm bool    // earlier orders may still be carried out, or no term has been started
 	urgent       bool    // the next round must start without a delay, since the group may be held
 
@@ -169,6 +171,9 @@
 	if !c.learnMap(ctx) {
 		return
 	}
+	if c.opt.Unfenced && !c.earlierHoldsPassed() {
+		return
+	}
 	p, ok := c.proposePlan()
 	if !ok {
 		return
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -88,6 +88,10 @@
 	if !c.readAll(ctx) {
 		return false
 	}
+	c.termStep = c.status[c.opt.Rank].Step
+	if c.opt.Unfenced {
+		return c.undoUnfenced(ctx)
+	}
 	return c.undo(ctx)
 }
 
