targetset, listwatch, fleet: order by the era and the revision of the list

Cause: the users' store may come back from a copy some seconds old and give out revisions again. A process that goes on with the revisions it knows misses changes, and an entry of the copy cancels a leave that is newer than the copy.

A watch answered in another era makes the process read all; answers of an earlier era are ignored and reported. A new era counts as an outage of the list. Leaves outlast it unless the entry was written after the start of the era, and an earlier incarnation never replaces a later one. Peers exchange positions. An answer without an era, or with a malformed one, counts as one of the last era; the latter is logged and counted.

--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -10,6 +10,7 @@
 	"github.com/camphorbank/camphorbank/internal/expertmap"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/targetset"
 )
 
 // platformProbes lists the probes of the computations and messages of processes that run on the users' platform.
@@ -62,7 +63,7 @@
 	m := Measurement{Role: "entry", Unit: "bytes a beat, without frame", Per: "targets", TargetSize: Targets}
 	return sweep(m, []int{19, 71, 300, Targets}, func(targets int) (float64, error) {
 		return jsonBytes(fleet.Heartbeat{From: fleet.Entry{Name: "front-a-1", Control: "10.1.0.40:8229", Started: 1 << 60}, Config: 4000,
-			List: 9000, Members: 1 << 63, InFlight: make([]byte, targets), ReadsPlatform: true})
+			List: targetset.Position{Revision: 9000}, Members: 1 << 63, InFlight: make([]byte, targets), ReadsPlatform: true})
 	})
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -209,7 +209,7 @@
 func (f *Fleet) ownHeartbeat() Heartbeat {
 	list := f.opt.Targets.Snapshot()
 	return Heartbeat{
-		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Revision, Members: f.memberHash(),
+		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Position, Members: f.memberHash(),
 		Leaves: f.opt.Targets.Leaves(time.Now()), InFlight: encodeInFlight(list, f.opt.InFlight()), ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
 	}
 }
@@ -239,8 +239,8 @@
 	if counts, ok := decodeInFlight(list, h); ok {
 		f.opt.ReportInFlight(h.From.Name, counts)
 	}
-	request := StateRequest{Config: f.opt.Tables.Version(), List: list.Revision, Members: h.Members != f.memberHash()}
-	if h.Config > request.Config || h.List > request.List || request.Members {
+	request := StateRequest{Config: f.opt.Tables.Version(), List: list.Position, Members: h.Members != f.memberHash()}
+	if h.Config > request.Config || request.List.Before(h.List) || request.Members {
 		f.fetchState(ctx, h.From, request)
 	}
 }
@@ -282,9 +282,9 @@
 	if reply.Config != nil && f.opt.Tables.Offer(*reply.Config) {
 		f.opt.Notify(Event{Kind: EventConfig, Peer: from.Name, Value: reply.Config.Version})
 	}
-	if reply.List > request.List {
+	if request.List.Before(reply.List) {
 		f.opt.Targets.Replace(reply.List, reply.Targets, now)
-		f.opt.Notify(Event{Kind: EventList, Peer: from.Name, Value: reply.List})
+		f.opt.Notify(Event{Kind: EventList, Peer: from.Name, Value: reply.List.Revision})
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -304,8 +304,8 @@
 	if t := f.opt.Tables.Load(); t != nil && t.Config.Version > in.Config {
 		out.Config = &t.Config
 	}
-	if revision, targets := f.opt.Targets.Targets(); revision > in.List {
-		out.List, out.Targets = revision, targets
+	if position, targets := f.opt.Targets.Targets(); in.List.Before(position) {
+		out.List, out.Targets = position, targets
 	}
 	if in.Members {
 		out.Entries, out.Ranks = f.members()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -60,13 +60,13 @@
 	list := func(revision int64, ids ...string) *targetset.Snapshot {
 		var targets []targetset.Target
 		for _, id := range ids {
-			targets = append(targets, targetset.Target{ID: id, Service: "s", Revision: 1})
+			targets = append(targets, targetset.Target{ID: id, Service: "s", Position: targetset.Position{Revision: 1}})
 		}
-		set.Replace(revision, targets, time.Now())
+		set.Replace(targetset.Position{Revision: revision}, targets, time.Now())
 		return set.Snapshot()
 	}
 	a := list(3, "x", "y", "z")
-	heartbeat := Heartbeat{List: a.Revision, InFlight: encodeInFlight(a, map[string]int{"y": 2, "z": 999})}
+	heartbeat := Heartbeat{List: a.Position, InFlight: encodeInFlight(a, map[string]int{"y": 2, "z": 999})}
 	got, ok := decodeInFlight(a, heartbeat)
 	if !ok || got["x"] != 0 || got["y"] != 2 || got["z"] != maxEncodedInFlight {
 		t.Errorf("decoded counts %v, ok %v", got, ok)
@@ -111,7 +111,7 @@
 		c.Routes = append(c.Routes, routetable.Route{Name: fmt.Sprint("r-", i), Host: fmt.Sprintf("h%d.example", i), Prefix: "/p/",
 			Kind: routetable.KindSafe, Timeout: time.Second, Backends: []routetable.Backend{{Service: "s", Weight: 1}}})
 	}
-	packed, err := pack(State{Config: &c, List: 3})
+	packed, err := pack(State{Config: &c, List: targetset.Position{Revision: 3}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +119,7 @@
 		t.Errorf("%d bytes for %d routes", len(packed.Packed), len(c.Routes))
 	}
 	got, err := unpack(packed)
-	if err != nil || got.List != 3 || !reflect.DeepEqual(got.Config.Routes, c.Routes) {
+	if err != nil || got.List != (targetset.Position{Revision: 3}) || !reflect.DeepEqual(got.Config.Routes, c.Routes) {
 		t.Errorf("%v: the decoded state differs", err)
 	}
 	if _, err := unpack(StateReply{Packed: packed.Packed[:100]}); err == nil {
--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -16,9 +16,9 @@
 }
 
 // decodeInFlight returns the counts of a heartbeat by target id. ok is false if the sender's target list has a
-// different revision, which makes the order of its counts unknown.
+// different position, which makes the order of its counts unknown.
 func decodeInFlight(list *targetset.Snapshot, h Heartbeat) (counts map[string]int, ok bool) {
-	if list.Revision != h.List || len(list.IDs) != len(h.InFlight) {
+	if list.Position != h.List || len(list.IDs) != len(h.InFlight) {
 		return nil, false
 	}
 	counts = map[string]int{}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -41,13 +41,13 @@
 
 // Heartbeat is the message that two entries send each other as request and reply of methodExchange.
 type Heartbeat struct {
-	From    Entry             `json:"from"`
-	Config  int64             `json:"cv"` // version of the configuration in force
-	List    int64             `json:"lr"` // revision of the sender's list of targets
-	Members uint64            `json:"mh"` // hash of the known entries and ranks
-	Leaves  []targetset.Leave `json:"lv,omitempty"`
+	From    Entry              `json:"from"`
+	Config  int64              `json:"cv"` // version of the configuration in force
+	List    targetset.Position `json:"lr"` // position of the sender's list of targets
+	Members uint64             `json:"mh"` // hash of the known entries and ranks
+	Leaves  []targetset.Leave  `json:"lv,omitempty"`
 	// InFlight holds the number of requests that the sender has in flight at each target, one byte for each, in the
-	// order of the target ids at revision List.
+	// order of the target ids at the position List.
 	InFlight      []byte `json:"if,omitempty"`
 	ReadsPlatform bool   `json:"rd,omitempty"` // the sender reads the platform itself and reaches it
 	Stopping      bool   `json:"st,omitempty"`
@@ -55,9 +55,9 @@
 
 // StateRequest asks an entry for the parts of its state that are newer than the sender's.
 type StateRequest struct {
-	Config  int64 `json:"cv"` // configuration version that the sender has
-	List    int64 `json:"lr"` // target list revision that the sender has
-	Members bool  `json:"m"`  // whether to include the known entries and ranks
+	Config  int64              `json:"cv"` // configuration version that the sender has
+	List    targetset.Position `json:"lr"` // position of the target list that the sender has
+	Members bool               `json:"m"`  // whether to include the known entries and ranks
 }
 
 // StateReply holds a compressed State. A configuration with many routes takes hundreds of kilobytes uncompressed, and
@@ -69,7 +69,7 @@
 // State holds the parts of an entry's state that a StateRequest asked for. Parts that are not newer are left empty.
 type State struct {
 	Config  *routetable.Config `json:"c,omitempty"`
-	List    int64              `json:"lr,omitempty"`
+	List    targetset.Position `json:"lr"`
 	Targets []targetset.Target `json:"t,omitempty"`
 	Entries []Entry            `json:"e,omitempty"`
 	Ranks   []Rank             `json:"r,omitempty"`
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -57,14 +57,14 @@
 		t.Cleanup(tg.Close)
 		// The first target is in the data centre of the balancer, so that it is chosen first.
 		list = append(list, targetset.Target{ID: []string{"i-1", "i-2"}[i], Service: "s", Addr: tg.Addr, Slots: 50,
-			DataCentre: []string{"near", "far"}[i], Revision: 1})
+			DataCentre: []string{"near", "far"}[i], Position: targetset.Position{Revision: 1}})
 		if i == 0 {
 			f.first = tg
 		} else {
 			f.second = tg
 		}
 	}
-	set.Replace(1, list, time.Now())
+	set.Replace(targetset.Position{Revision: 1}, list, time.Now())
 	tables := &routetable.Store{}
 	tables.Offer(testConfig())
 	f.gateway = &gateway.Gateway{
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -16,19 +16,24 @@
 // ErrHistoryGone is returned by a watch if the platform no longer has the changes since the given revision.
 var ErrHistoryGone = errors.New("history is gone")
 
+// errOldEra is the error of an answer from an earlier era of the platform's list than one that this process has seen.
+var errOldEra = errors.New("the answer is from an earlier era of the list")
+
 // Listing is the complete list of targets.
 type Listing struct {
-	Revision      int64 // revision after which changes must be watched; the list may already contain later changes
-	Targets       []targetset.Target
-	MalformedKeys []string // keys of entries that could not be decoded as a target
+	targetset.Position // after which changes must be watched; the list may already contain later changes
+	Targets            []targetset.Target
+	MalformedKeys      []string // keys of entries that could not be decoded as a target
+	EraErr             error    // why the era that the platform states was ignored, or nil
 }
 
 // Changes holds the changes after a revision.
 type Changes struct {
-	Revision  int64 // revision up to which the changes are complete
-	Targets   []targetset.Change
-	Config    *routetable.Config // newest configuration among the changes, or nil
-	ConfigErr error              // why a configuration could not be decoded, or nil
+	targetset.Position // up to which the changes are complete
+	Targets            []targetset.Change
+	Config             *routetable.Config // newest configuration among the changes, or nil
+	ConfigErr          error              // why a configuration could not be decoded, or nil
+	EraErr             error              // why the era that the platform states was ignored, or nil
 }
 
 // Source reads the platform's store of targets and configuration.
@@ -67,8 +72,8 @@
 	// Notify is called with each event. It must not block.
 	Notify func(Event)
 
-	knownRevision int64 // revision up to which changes are known; 0 if the whole list must be read
-	unreachable   bool  // the latest call to the platform failed
+	known         targetset.Position // up to which changes are known; zero if the whole list must be read
+	unreachable   bool               // the latest call to the platform failed
 	readsPlatform atomic.Bool
 }
 
@@ -77,11 +82,11 @@
 
 // Event reports a change of the connection to the platform, of the targets or of the configuration.
 type Event struct {
-	Kind     EventKind
-	Version  int64 // of the configuration; 0 unless Kind is EventConfig
-	Revision int64 // of the list
-	Changes  int   // number of changed or listed targets
-	Err      error // reason of a failure, or the key of a malformed entry
+	Kind               EventKind
+	Version            int64 // of the configuration; 0 unless Kind is EventConfig
+	targetset.Position       // of the list
+	Changes            int   // number of changed or listed targets
+	Err                error // reason of a failure, or the key of a malformed entry
 }
 
 // EventKind is the kind of an event.
@@ -96,6 +101,9 @@
 	EventConfig    EventKind = "configuration"         // a newer configuration was accepted
 	EventInvalid   EventKind = "configuration-invalid" // a configuration could not be decoded
 	EventMalformed EventKind = "entry-malformed"       // an entry of the list could not be decoded
+	EventNewEra    EventKind = "list-restored"         // the platform has restored the list from a copy
+	EventOldEra    EventKind = "list-outdated"         // an answer from an earlier era was ignored
+	EventBadEra    EventKind = "era-malformed"         // an answer states an era that is not a number
 )
 
 // Run reads the platform until ctx ends. It pauses while enough other processes do, once this process has the list and
@@ -103,7 +111,10 @@
 func (w *Watcher) Run(ctx context.Context) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if w.knownRevision > 0 && !w.unreachable && w.EnoughReaders != nil && w.EnoughReaders() {
+		if w.Targets.Snapshot().Era > w.known.Era {
+			w.known = targetset.Position{} // a peer has read the restored list
+		}
+		if w.known.Known() && !w.unreachable && w.EnoughReaders != nil && w.EnoughReaders() {
 			w.readsPlatform.Store(false)
 			w.sleep(ctx, readerCheckInterval)
 			continue
@@ -119,8 +130,8 @@
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			w.knownRevision = 0
-			w.Notify(Event{Kind: EventLost, Revision: w.knownRevision, Err: err})
+			w.Notify(Event{Kind: EventLost, Position: w.known, Err: err})
+			w.known = targetset.Position{}
 			continue
 		}
 		w.notifyLost(err)
@@ -141,7 +152,7 @@
 func (w *Watcher) notifyLost(err error) {
 	if !w.unreachable {
 		w.unreachable = true
-		w.Notify(Event{Kind: EventLost, Revision: w.knownRevision, Err: err})
+		w.Notify(Event{Kind: EventLost, Position: w.known, Err: err})
 	}
 }
 
@@ -149,28 +160,52 @@
 func (w *Watcher) notifyRegained() {
 	if w.unreachable {
 		w.unreachable = false
-		w.Notify(Event{Kind: EventRegained, Revision: w.knownRevision})
+		w.Notify(Event{Kind: EventRegained, Position: w.known})
 	}
 }
 
 // readOrWatch reads the whole list if no revision is known, and otherwise waits for changes and applies them.
 func (w *Watcher) readOrWatch(ctx context.Context) error {
-	if w.knownRevision == 0 {
+	if !w.known.Known() {
 		return w.readAll(ctx)
 	}
 	wait := maxWatchWait
 	if w.unreachable {
 		wait = 0 // the call returns at once and shows whether the platform answers again
 	}
-	c, err := w.Source.Watch(ctx, w.knownRevision, wait)
+	c, err := w.Source.Watch(ctx, w.known.Revision, wait)
 	if err != nil {
 		return err
 	}
+	w.notifyEraErr(c.Position, c.EraErr)
+	if c.Era != w.known.Era {
+		// The revision that was watched from has another meaning in this era.
+		return w.checkEra(c.Position, ErrHistoryGone)
+	}
 	w.startReregistration()
 	w.applyChanges(c)
 	return nil
 }
 
+// checkEra reports a change of the era. It returns errOldEra if the position is of an earlier era than the list that this
+// process has, and otherwise ifNewer.
+func (w *Watcher) checkEra(p targetset.Position, ifNewer error) error {
+	switch known := w.Targets.Snapshot().Era; {
+	case p.Era < known:
+		w.Notify(Event{Kind: EventOldEra, Position: p})
+		return errOldEra
+	case p.Era > known && w.Targets.Snapshot().Known():
+		w.Notify(Event{Kind: EventNewEra, Position: p})
+	}
+	return ifNewer
+}
+
+func (w *Watcher) notifyEraErr(p targetset.Position, err error) {
+	if err != nil {
+		w.Notify(Event{Kind: EventBadEra, Position: p, Err: err})
+	}
+}
+
 // startReregistration starts the period after an outage in which targets whose entries expired may register again. It
 // must be called before the changes that remove these entries are applied.
 func (w *Watcher) startReregistration() {
@@ -182,16 +217,16 @@
 // applyChanges applies the changes that a watch returned.
 func (w *Watcher) applyChanges(c Changes) {
 	if c.ConfigErr != nil {
-		w.Notify(Event{Kind: EventInvalid, Revision: c.Revision, Err: c.ConfigErr})
+		w.Notify(Event{Kind: EventInvalid, Position: c.Position, Err: c.ConfigErr})
 	}
 	if c.Config != nil && w.Tables.Offer(*c.Config) {
-		w.Notify(Event{Kind: EventConfig, Version: c.Config.Version, Revision: c.Revision})
+		w.Notify(Event{Kind: EventConfig, Version: c.Config.Version, Position: c.Position})
 	}
 	if len(c.Targets) > 0 {
-		w.Targets.Apply(c.Revision, c.Targets, time.Now())
-		w.Notify(Event{Kind: EventChanged, Revision: c.Revision, Changes: len(c.Targets)})
+		w.Targets.Apply(c.Position, c.Targets, time.Now())
+		w.Notify(Event{Kind: EventChanged, Position: c.Position, Changes: len(c.Targets)})
 	}
-	w.knownRevision = c.Revision
+	w.known = c.Position
 }
 
 // readAll reads and applies the whole list and the configuration.
@@ -202,19 +237,23 @@
 	if err != nil {
 		return err
 	}
+	w.notifyEraErr(list.Position, list.EraErr)
+	if err := w.checkEra(list.Position, nil); err != nil {
+		return err
+	}
 	conf, ok, err := w.Source.Config(ctx)
 	if err != nil {
 		return err
 	}
 	w.startReregistration()
-	w.Targets.Replace(list.Revision, list.Targets, time.Now())
+	w.Targets.Replace(list.Position, list.Targets, time.Now())
 	if ok && w.Tables.Offer(conf) {
-		w.Notify(Event{Kind: EventConfig, Version: conf.Version, Revision: list.Revision})
+		w.Notify(Event{Kind: EventConfig, Version: conf.Version, Position: list.Position})
 	}
 	for _, key := range list.MalformedKeys {
-		w.Notify(Event{Kind: EventMalformed, Revision: list.Revision, Err: errors.New(key)})
+		w.Notify(Event{Kind: EventMalformed, Position: list.Position, Err: errors.New(key)})
 	}
-	w.Notify(Event{Kind: EventListed, Revision: list.Revision, Changes: len(list.Targets)})
-	w.knownRevision = list.Revision
+	w.Notify(Event{Kind: EventListed, Position: list.Position, Changes: len(list.Targets)})
+	w.known = list.Position
 	return nil
 }
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -164,3 +164,69 @@
 		})
 	}
 }
+
+// TestStoreRestoredFromCopy guards against a process that goes on with revisions of a store that was restored from an
+// older copy: it would miss changes that have revisions which it has already seen, take up the older configuration, and
+// use targets that have left since the copy.
+func TestStoreRestoredFromCopy(t *testing.T) {
+	f := startFollower(t)
+	f.waitFor("first watch", func() bool { return f.store.Calls() >= callsUpToFirstWatch })
+	for round := range 2 { // the store is restored twice from the same copy
+		older := f.store.Copy()
+		f.store.Put("servers/i-0", entryValue("draining"))
+		f.store.Put("op/config", fmt.Sprintf(`{"version":%d}`, 10+round))
+		f.waitFor("changes", func() bool { return f.usableTargets() == 4 && f.tables.Version() == int64(10+round) })
+		f.store.Restore(older)
+		for range 5 { // the store gives out the revisions of the lost changes again
+			f.store.Put("servers/i-1", entryValue("ready"))
+		}
+		f.store.Put("servers/i-2", entryValue("draining"))
+		f.waitFor("change after the restoration", func() bool { return f.usableTargets() == 3 })
+		if v := f.tables.Version(); v != int64(10+round) {
+			t.Errorf("round %d: configuration %d in force, want %d", round, v, 10+round)
+		}
+		if !f.notified(listwatch.EventNewEra) {
+			t.Error("the restoration was not reported")
+		}
+		f.store.Put("servers/i-0", entryValue("ready"))
+		f.store.Put("servers/i-2", entryValue("ready"))
+		f.waitFor("targets that register again", func() bool { return f.usableTargets() == 5 })
+	}
+}
+
+// TestRestoredWithoutWatch guards against a watch that the restored store answers instead of refusing it, because the
+// revision that it starts from has been given out again meanwhile.
+func TestRestoredWithoutWatch(t *testing.T) {
+	f := startFollower(t)
+	f.waitFor("first watch", func() bool { return f.store.Calls() >= callsUpToFirstWatch })
+	older := f.store.Copy()
+	f.store.Put("op/config", `{"version":11}`)
+	f.waitFor("configuration", func() bool { return f.tables.Version() == 11 })
+	f.store.SetMode(store.Silent)
+	f.store.Restore(older)
+	f.store.Put("servers/i-3", entryValue("draining"))
+	f.store.Put("servers/i-4", entryValue("ready"))
+	f.store.SetMode(store.Up)
+	f.waitFor("change that the watch does not contain", func() bool { return f.usableTargets() == 4 })
+}
+
+// TestOddEras guards against a process that follows a store whose era has gone down, or that stops following one that
+// states no era or a malformed one.
+func TestOddEras(t *testing.T) {
+	f := startFollower(t)
+	f.store.SetEra("3")
+	f.store.Put("servers/i-0", entryValue("draining"))
+	f.waitFor("change in era 3", func() bool { return f.usableTargets() == 4 && f.targets.Snapshot().Era == 3 })
+	f.store.SetEra("none")
+	f.store.Put("servers/i-1", entryValue("draining"))
+	f.waitFor("change in a malformed era", func() bool { return f.usableTargets() == 3 && f.notified(listwatch.EventBadEra) })
+	f.store.SetEra("")
+	f.store.Put("servers/i-2", entryValue("draining"))
+	f.waitFor("change without an era", func() bool { return f.usableTargets() == 2 })
+	f.store.SetEra("2")
+	f.store.Put("servers/i-3", entryValue("draining"))
+	f.waitFor("report of the earlier era", func() bool { return f.notified(listwatch.EventOldEra) })
+	if n := f.usableTargets(); n != 2 {
+		t.Errorf("%d targets in use, want the 2 of era 3", n)
+	}
+}
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -68,6 +68,9 @@
 func logPlatform(e listwatch.Event) {
 	metrics.PlatformEvents.Add(string(e.Kind), 1)
 	f := log.Fields{"event": e.Kind, "revision": e.Revision}
+	if e.Era > 0 {
+		f["era"] = e.Era
+	}
 	if e.Version > 0 {
 		f["config"] = e.Version
 	}
--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -1,7 +1,7 @@
 // Package targetset holds the list of targets that the platform publishes, and the leaves of targets: which of them
 // drain or are gone and therefore get no new requests.
 //
-// The list and the leaves come from the platform, the leaves also from peers, which may have read a newer revision.
+// The list and the leaves come from the platform, the leaves also from the answers of targets and from peers, which may have read a newer list.
 // After an outage of the list, targets whose entries expired meanwhile stay in use until they have had the time to
 // register again.
 package targetset
@@ -23,7 +23,7 @@
 	DataCentre  string `json:"data_centre"`
 	Slots       int    `json:"slots"` // requests that it processes concurrently
 	Draining    bool   `json:"draining"`
-	Revision    int64  `json:"revision"` // of the platform's list at which the entry was written
+	Position           // of the platform's list at which the entry was written
 }
 
 // Incarnation identifies the period from one start of a target to its end. A restarted target has another incarnation.
@@ -35,18 +35,19 @@
 // Incarnation returns the incarnation of the target.
 func (t *Target) Incarnation() Incarnation { return Incarnation{t.ID, t.StartedAtMs} }
 
-// Leave states that an incarnation gets no new requests. An entry of a later revision that is not draining cancels it.
+// Leave states that an incarnation gets no new requests.
 type Leave struct {
 	Incarnation
-	Revision int64 // of the platform's list in which the leave was seen
+	Position      // of the platform's list in which the leave was seen
+	Final    bool `json:"final,omitempty"` // see leave.final
 }
 
-// maxLeavesKept bounds the number of leaves that are stored. Those with the lowest revision are dropped first.
+// maxLeavesKept bounds the number of leaves that are stored. Those with the oldest position are dropped first.
 const maxLeavesKept = 512
 
-// Snapshot is the list at one revision. It is immutable.
+// Snapshot is the list at one position. It is immutable.
 type Snapshot struct {
-	Revision  int64    // of the platform's list
+	Position           // of the platform's list
 	IDs       []string // of all targets, sorted
 	ByID      map[string]*Target
 	ByService map[string][]*Target // those that may get new work, in the order of their ids
@@ -61,7 +62,8 @@
 	snapshot atomic.Pointer[Snapshot]
 
 	mu       sync.Mutex
-	revision int64
+	position Position
+	eraStart Position // first position that was seen in the present era
 	listed   map[string]Target
 	leaves   map[Incarnation]leave // incarnations that drain or are gone
 	// removalDue holds the targets whose entries were removed after an outage of the list, with the time at which they
@@ -82,9 +84,9 @@
 
 // Change is one change of the list.
 type Change struct {
-	ID       string
-	Revision int64
-	Target   *Target // nil if the entry was removed or names no usable target
+	ID string
+	Position
+	Target *Target // nil if the entry was removed or names no usable target
 }
 
 // Regained records that the list can be read again after an outage.
@@ -95,12 +97,13 @@
 }
 
 // Replace applies a complete list: entries that it does not contain are removed. An older list is ignored.
-func (s *Set) Replace(revision int64, targets []Target, now time.Time) {
+func (s *Set) Replace(p Position, targets []Target, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision < s.revision {
+	if p.Before(s.position) {
 		return
 	}
+	s.advance(p, now)
 	present := map[string]bool{}
 	for i := range targets {
 		present[targets[i].ID] = true
@@ -108,32 +111,57 @@
 	}
 	for id := range s.listed {
 		if !present[id] {
-			s.remove(id, revision, now)
+			s.remove(id, p, now)
 		}
 	}
-	s.revision = revision
 	s.publish()
 }
 
-// Apply applies changes, which are in the order of their revisions, up to a revision of the list.
-func (s *Set) Apply(revision int64, changes []Change, now time.Time) {
+// Apply applies changes, which are in the order of their positions, up to a position of the list.
+func (s *Set) Apply(p Position, changes []Change, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p.Era < s.position.Era {
+		return
+	}
 	for _, c := range changes {
 		if c.Target != nil {
 			s.put(*c.Target)
 		} else {
-			s.remove(c.ID, c.Revision, now)
+			s.remove(c.ID, c.Position, now)
 		}
 	}
-	s.revision = max(s.revision, revision)
+	s.advance(p, now)
 	s.publish()
 }
 
+// advance raises the position of the set. A new era counts as an outage of the list, since entries that were written
+// after the copy was made are missing until their targets have written them again. The caller holds the lock.
+func (s *Set) advance(p Position, now time.Time) {
+	if p.Era > s.position.Era {
+		s.eraStart = p
+		s.listRegained = now
+	}
+	if s.position.Before(p) {
+		s.position = p
+	}
+}
+
 // leave holds what is known about the leave of an incarnation.
 type leave struct {
-	revision int64     // of the platform's list in which it was seen
+	position Position  // of the platform's list in which it was seen
 	learned  time.Time // when this process first learned of it
+	// final means that the target has said in an answer that it leaves, which no entry cancels.
+	final bool
+}
+
+// cancelledBy reports whether an entry shows that the incarnation does not leave after all. An entry of another era
+// does so only if it was written after the start of that era, since the copy may be older than the leave.
+func (l leave) cancelledBy(t *Target, eraStart Position) bool {
+	if l.final || t.Draining || !l.position.Before(t.Position) {
+		return false
+	}
+	return l.position.Era == t.Era || eraStart.Before(t.Position)
 }
 
 // leaveShareTime is the time for which a leave is sent to peers. After it, they have read the leave themselves or
@@ -147,11 +175,12 @@
 	changed := false
 	for _, l := range list {
 		t, listed := s.listed[l.ID]
-		if listed && t.Incarnation() == l.Incarnation && t.Revision > l.Revision {
+		seen := leave{position: l.Position, final: l.Final}
+		if listed && t.Incarnation() == l.Incarnation && seen.cancelledBy(&t, s.eraStart) {
 			continue
 		}
-		if s.leaves[l.Incarnation].revision < l.Revision {
-			s.recordLeave(l.Incarnation, l.Revision)
+		if known, ok := s.leaves[l.Incarnation]; !ok || known.position.Before(l.Position) || l.Final && !known.final {
+			s.recordLeave(l.Incarnation, l.Position, l.Final)
 			changed = true
 		}
 	}
@@ -160,6 +189,18 @@
 	}
 }
 
+// Announced records that a target has said in an answer that it leaves. It reports whether this was not known before.
+func (s *Set) Announced(i Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaves[i].final {
+		return false
+	}
+	s.recordLeave(i, s.position, true)
+	s.publish()
+	return true
+}
+
 // Leaves returns the leaves that are to be sent to peers, which are those learned within leaveShareTime.
 func (s *Set) Leaves(now time.Time) []Leave {
 	s.mu.Lock()
@@ -167,37 +208,40 @@
 	out := make([]Leave, 0, len(s.leaves))
 	for i, l := range s.leaves {
 		if now.Sub(l.learned) < leaveShareTime {
-			out = append(out, Leave{i, l.revision})
+			out = append(out, Leave{i, l.position, l.final})
 		}
 	}
 	return out
 }
 
 // recordLeave stores a leave. The caller holds the lock.
-func (s *Set) recordLeave(i Incarnation, revision int64) {
+func (s *Set) recordLeave(i Incarnation, p Position, final bool) {
 	l, known := s.leaves[i]
 	if !known {
 		l.learned = time.Now()
 	}
-	l.revision = max(l.revision, revision)
+	if l.position.Before(p) {
+		l.position = p
+	}
+	l.final = l.final || final
 	s.leaves[i] = l
 	if len(s.leaves) <= maxLeavesKept {
 		return
 	}
 	oldest := i
 	for k, other := range s.leaves {
-		if other.revision < s.leaves[oldest].revision {
+		if other.position.Before(s.leaves[oldest].position) {
 			oldest = k
 		}
 	}
 	delete(s.leaves, oldest)
 }
 
-// Targets returns the revision of the list and all its targets.
-func (s *Set) Targets() (int64, []Target) {
+// Targets returns the position of the list and all its targets.
+func (s *Set) Targets() (Position, []Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision, slices.Collect(maps.Values(s.listed))
+	return s.position, slices.Collect(maps.Values(s.listed))
 }
 
 // Expire removes the targets that have not registered again within ReregistrationTime after an outage of the list.
@@ -210,7 +254,7 @@
 			continue
 		}
 		t := s.listed[id]
-		s.recordLeave(t.Incarnation(), s.revision)
+		s.recordLeave(t.Incarnation(), s.position, false)
 		delete(s.listed, id)
 		delete(s.removalDue, id)
 		changed = true
@@ -220,17 +264,19 @@
 	}
 }
 
-// put adds or replaces an entry, unless a later one is known. The caller holds the lock.
+// put adds or replaces an entry, unless a later one or one of a later incarnation is known. The caller holds the lock.
 func (s *Set) put(t Target) {
-	if old, ok := s.listed[t.ID]; ok && old.Revision > t.Revision {
+	if old, ok := s.listed[t.ID]; ok && (t.Position.Before(old.Position) || t.StartedAtMs > 0 && t.StartedAtMs < old.StartedAtMs) {
 		return
 	}
 	delete(s.removalDue, t.ID)
 	s.listed[t.ID] = t
-	switch i := t.Incarnation(); {
-	case t.Draining:
-		s.recordLeave(i, t.Revision)
-	case s.leaves[i].revision < t.Revision:
+	i := t.Incarnation()
+	if t.Draining {
+		s.recordLeave(i, t.Position, false)
+		return
+	}
+	if l, ok := s.leaves[i]; ok && l.cancelledBy(&t, s.eraStart) {
 		delete(s.leaves, i)
 	}
 }
@@ -238,9 +284,9 @@
 // remove removes an entry, unless a later one is known. An entry that is removed within ReregistrationTime after an
 // outage of the list stays in use for the rest of that time, so that its target can register again. The caller holds the
 // lock.
-func (s *Set) remove(id string, revision int64, now time.Time) {
+func (s *Set) remove(id string, p Position, now time.Time) {
 	t, ok := s.listed[id]
-	if !ok || t.Revision > revision {
+	if !ok || p.Before(t.Position) {
 		return
 	}
 	_, leaving := s.leaves[t.Incarnation()]
@@ -250,13 +296,13 @@
 		}
 		return
 	}
-	s.recordLeave(t.Incarnation(), revision)
+	s.recordLeave(t.Incarnation(), p, false)
 	delete(s.listed, id)
 }
 
 // publish stores a new snapshot of the present state. The caller holds the lock.
 func (s *Set) publish() {
-	snap := &Snapshot{Revision: s.revision, ByID: make(map[string]*Target, len(s.listed)), ByService: map[string][]*Target{}}
+	snap := &Snapshot{Position: s.position, ByID: make(map[string]*Target, len(s.listed)), ByService: map[string][]*Target{}}
 	snap.IDs = slices.Sorted(maps.Keys(s.listed))
 	for _, id := range snap.IDs {
 		t := s.listed[id]
--- a/internal/targetset/targetset_test.go
+++ b/internal/targetset/targetset_test.go
@@ -1,23 +1,27 @@
 package targetset
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
 
 func target(id string, born, revision int64, draining bool) Target {
-	return Target{ID: id, StartedAtMs: born, Service: "s", Addr: "a", Slots: 1, Draining: draining, Revision: revision}
+	return Target{ID: id, StartedAtMs: born, Service: "s", Addr: "a", Slots: 1, Draining: draining, Position: at(revision)}
 }
 
+// at returns a position of the first era.
+func at(revision int64) Position { return Position{Revision: revision} }
+
 func usable(s *Set) int { return len(s.Snapshot().ByService["s"]) }
 
 // TestLeaveFromPeerIsHonoured guards against requests for a target whose leave only a peer has seen, also after the
 // arrival of an older list that still contains the target.
 func TestLeaveFromPeerIsHonoured(t *testing.T) {
 	s := New()
-	s.Replace(5, []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
-	s.Leave([]Leave{{Incarnation{"a", 1}, 7}})
-	s.Replace(6, []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
+	s.Replace(at(5), []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
+	s.Leave([]Leave{{Incarnation{"a", 1}, at(7), false}})
+	s.Replace(at(6), []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
 	if n := usable(s); n != 1 {
 		t.Errorf("%d targets in use, want 1", n)
 	}
@@ -27,13 +31,13 @@
 // against ignoring an entry that was written after the leave.
 func TestRestartedTargetIsUsed(t *testing.T) {
 	s := New()
-	s.Replace(5, []Target{target("a", 1, 3, true)}, time.Now())
-	s.Apply(6, []Change{{ID: "a", Revision: 6, Target: pointerTo(target("a", 2, 6, false))}}, time.Now())
+	s.Replace(at(5), []Target{target("a", 1, 3, true)}, time.Now())
+	s.Apply(at(6), []Change{{ID: "a", Position: at(6), Target: pointerTo(target("a", 2, 6, false))}}, time.Now())
 	if usable(s) != 1 {
 		t.Error("the new incarnation is not used")
 	}
-	s.Apply(7, []Change{{ID: "a", Revision: 7}}, time.Now())
-	s.Apply(8, []Change{{ID: "a", Revision: 8, Target: pointerTo(target("a", 2, 8, false))}}, time.Now())
+	s.Apply(at(7), []Change{{ID: "a", Position: at(7)}}, time.Now())
+	s.Apply(at(8), []Change{{ID: "a", Position: at(8), Target: pointerTo(target("a", 2, 8, false))}}, time.Now())
 	if usable(s) != 1 {
 		t.Error("the target that registered again is not used")
 	}
@@ -42,8 +46,8 @@
 // TestOlderListIsIgnored guards against an older list that adds removed targets again.
 func TestOlderListIsIgnored(t *testing.T) {
 	s := New()
-	s.Replace(9, []Target{target("a", 1, 3, false)}, time.Now())
-	s.Replace(8, []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
+	s.Replace(at(9), []Target{target("a", 1, 3, false)}, time.Now())
+	s.Replace(at(8), []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
 	if usable(s) != 1 {
 		t.Errorf("%d targets in use, want 1", usable(s))
 	}
@@ -53,7 +57,7 @@
 func TestNumberOfLeavesIsBounded(t *testing.T) {
 	s := New()
 	for i := range int64(3 * maxLeavesKept) {
-		s.Leave([]Leave{{Incarnation{"t", i}, i + 1}})
+		s.Leave([]Leave{{Incarnation{"t", i}, at(i + 1), false}})
 	}
 	if n := len(s.Leaves(time.Now())); n > maxLeavesKept {
 		t.Errorf("%d leaves are stored", n)
@@ -61,3 +65,81 @@
 }
 
 func pointerTo(t Target) *Target { return &t }
+
+// inEra returns the target as it is written in an era of the list.
+func inEra(t Target, era int64) Target {
+	t.Era = era
+	return t
+}
+
+// used reports whether the target gets new requests.
+func used(s *Set, id string) bool {
+	return slices.ContainsFunc(s.Snapshot().ByService["s"], func(t *Target) bool { return t.ID == id })
+}
+
+// TestRestoredList guards against the loss of what was known when the platform's list is restored from an older copy:
+// a leave after the copy, a target that registered after it, and a restart under the same id. The list is restored
+// twice, and an answer from the first copy arrives after the second one.
+func TestRestoredList(t *testing.T) {
+	s := New()
+	now := time.Now()
+	copied := []Target{target("leaving", 1, 3, false), target("restarted", 1, 4, false), target("gone", 1, 4, false)}
+	s.Replace(at(5), copied, now)
+	s.Apply(at(9), []Change{
+		{ID: "leaving", Position: at(6), Target: pointerTo(target("leaving", 1, 6, true))},
+		{ID: "restarted", Position: at(7), Target: pointerTo(target("restarted", 2, 7, false))},
+		{ID: "gone", Position: at(8)},
+		{ID: "new", Position: at(9), Target: pointerTo(target("new", 1, 9, false))},
+	}, now)
+	for era := int64(1); era <= 2; era++ {
+		var list []Target
+		for _, c := range copied {
+			list = append(list, inEra(c, era))
+		}
+		s.Replace(Position{era, 5}, list, now)
+		if used(s, "leaving") || used(s, "gone") || !used(s, "restarted") || !used(s, "new") {
+			t.Errorf("era %d: targets in use: %v", era, s.Snapshot().ByService["s"])
+		}
+		if started := s.Snapshot().ByID["restarted"].StartedAtMs; started != 2 {
+			t.Errorf("era %d: incarnation %d of the restarted target, want 2", era, started)
+		}
+	}
+	s.Replace(Position{1, 50}, nil, now)
+	s.Apply(Position{1, 51}, []Change{{ID: "restarted", Position: Position{1, 51}}}, now)
+	if !used(s, "restarted") {
+		t.Error("a list of an earlier era was applied")
+	}
+	s.Apply(Position{2, 6}, []Change{{ID: "gone", Position: Position{2, 6}, Target: pointerTo(inEra(target("gone", 1, 6, false), 2))}}, now)
+	if !used(s, "gone") {
+		t.Error("a target that registered again after the restoration is not used")
+	}
+	s.Expire(now.Add(ReregistrationTime))
+	if used(s, "new") {
+		t.Error("a target that did not register again after the restoration is used")
+	}
+}
+
+// TestAnnouncedLeaveIsFinal guards against requests for a target that has said in an answer that it leaves, while its
+// entry in the list still changes, also in a peer that has learned of the leave. Its next incarnation is used.
+func TestAnnouncedLeaveIsFinal(t *testing.T) {
+	now := time.Now()
+	s, peer := New(), New()
+	for _, set := range []*Set{s, peer} {
+		set.Replace(at(5), []Target{target("a", 1, 3, false)}, now)
+	}
+	if !s.Announced(Incarnation{"a", 1}) || s.Announced(Incarnation{"a", 1}) {
+		t.Error("the leave is not reported exactly once")
+	}
+	peer.Leave(s.Leaves(now))
+	for name, set := range map[string]*Set{"self": s, "peer": peer} {
+		set.Apply(at(6), []Change{{ID: "a", Position: at(6), Target: pointerTo(target("a", 1, 6, false))}}, now)
+		set.Replace(Position{1, 2}, []Target{inEra(target("a", 1, 2, false), 1)}, now)
+		if used(set, "a") {
+			t.Errorf("%s: the leaving target is used", name)
+		}
+		set.Apply(Position{1, 9}, []Change{{ID: "a", Position: Position{1, 9}, Target: pointerTo(inEra(target("a", 2, 9, false), 1))}}, now)
+		if !used(set, "a") {
+			t.Errorf("%s: the next incarnation is not used", name)
+		}
+	}
+}
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -33,6 +34,9 @@
 	Silent                      // no answer until the caller gives up
 )
 
+// HeaderEra is the header that states how often the store was restored from a copy.
+const HeaderEra = "Store-Era"
+
 // pageItems is the maximum number of items of a page. It is small so that tests read several pages.
 const pageItems = 3
 
@@ -44,7 +48,9 @@
 	items           map[string]Item
 	history         []Item
 	revision        int64
-	droppedRevision int64 // revision up to which the history was discarded
+	droppedRevision int64  // revision up to which the history was discarded
+	era             string // value of the header HeaderEra; not sent if empty
+	restorations    int
 	mode            Mode
 	calls           int
 	changed         chan struct{}
@@ -100,6 +106,39 @@
 	s.Server.CloseClientConnections()
 }
 
+// Copy is the content of a store at one time.
+type Copy struct {
+	items    map[string]Item
+	revision int64
+}
+
+// Copy returns the present content of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.items), s.revision}
+}
+
+// Restore replaces the content of the store by a copy. Revisions that were given out since are given out again. It closes
+// all connections, which interrupts the watches.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	s.items, s.revision = maps.Clone(c.items), c.revision
+	s.droppedRevision, s.history = c.revision, nil
+	s.restorations++
+	s.era = strconv.Itoa(s.restorations)
+	s.wakeWatches()
+	s.mu.Unlock()
+	s.Server.CloseClientConnections()
+}
+
+// SetEra changes the value of the header HeaderEra. The header is not sent if the value is empty.
+func (s *Store) SetEra(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = value
+}
+
 // SetMode changes how the store answers.
 func (s *Store) SetMode(m Mode) {
 	s.mu.Lock()
@@ -121,6 +160,7 @@
 	s.calls++
 	mode := s.mode
 	s.mu.Unlock()
+	w = &eraWriter{ResponseWriter: w, store: s}
 	if !applyMode(w, r, mode) {
 		return
 	}
@@ -154,10 +194,34 @@
 	return mode == Up
 }
 
+// eraWriter adds the present era to each answer.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+func (w *eraWriter) WriteHeader(status int) {
+	w.addEra()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *eraWriter) Write(p []byte) (int, error) {
+	w.addEra()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *eraWriter) addEra() {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	if w.store.era != "" {
+		w.Header().Set(HeaderEra, w.store.era)
+	}
+}
+
 func (s *Store) serveKey(w http.ResponseWriter, key string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	i, ok := s.items[key]
+	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -166,6 +230,17 @@
 }
 
 func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
+	writeJSON(w, s.page(prefix, after))
+}
+
+// page is one page of a range.
+type page struct {
+	Items   []Item `json:"items"`
+	HasMore bool   `json:"has_more"`
+	At      int64  `json:"at"`
+}
+
+func (s *Store) page(prefix, after string) page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var keys []string
@@ -175,15 +250,11 @@
 		}
 	}
 	sort.Strings(keys)
-	out := struct {
-		Items   []Item `json:"items"`
-		HasMore bool   `json:"has_more"`
-		At      int64  `json:"at"`
-	}{HasMore: len(keys) > pageItems, At: s.revision}
+	out := page{HasMore: len(keys) > pageItems, At: s.revision}
 	for _, k := range keys[:min(pageItems, len(keys))] {
 		out.Items = append(out.Items, s.items[k])
 	}
-	writeJSON(w, out)
+	return out
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
@@ -192,7 +263,7 @@
 	for {
 		s.mu.Lock()
 		changed, mode := s.changed, s.mode
-		if mode == Up && after < s.droppedRevision {
+		if mode == Up && (after < s.droppedRevision || after > s.revision) {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
