gateway: heed what targets say of themselves, bound answers without end

Causes, each shown by a test that failed before: - Requests went on to a target whose answers say Server-Leaving: 1 while the list did not say so (TestLeavingTargetGetsNoMoreRequests). - A refusal with 503 and Retry-After counted like any other, so that the target got requests again within its time (TestQuietTargetIsLeftAlone), and callers were sent to it although all targets had asked for quiet (TestAllTargetsQuiet). - Heads without end were read and stored until the deadline; bodies and comments without end were passed on until the deadline (TestEndlessBytes). - On a reused connection, a refusal without an id was taken for the answer to the present request, so that a request which must run once could be called not run (TestLateCopyOnConnectionInUse).

A target that asks for quiet gets nothing from this process until then; if all do, callers are refused at once and return spread over half of the time after it. A head may have 64 KB, an answer without a stated length 32 MB, and an unwanted body is read for 100 ms at most.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,6 +35,8 @@
 	ReasonNoTargets Reason = "no-targets"   // no target is listed, or each has already failed this request
 	// ReasonClosed means that each target is avoided or in a group that takes no requests at present. It is temporary.
 	ReasonClosed Reason = "targets-closed"
+	// ReasonQuiet means that each target that is not avoided or closed wants no requests from this process at present.
+	ReasonQuiet Reason = "targets-quiet"
 )
 
 // Job describes a request that needs a target.
@@ -105,7 +107,8 @@
 
 // targetState is the load and the health of one incarnation of a target.
 type targetState struct {
-	ownInFlight    int // requests in flight from this process
+	ownInFlight    int       // requests in flight from this process
+	quietUntil     time.Time // until then it wants no requests from this process
 	health         health
 	lastEventGap   time.Duration // latest gap between two events of a stream
 	lastEventGapAt time.Time     // when it was observed
@@ -158,6 +161,12 @@
 			continue
 		}
 		g := b.groupOf(t, now)
+		if b.stateOf(t).quiet(now) {
+			if reason != ReasonFull {
+				reason = ReasonQuiet
+			}
+			continue
+		}
 		if !b.stateOf(t).health.usable(now) || g != nil && !g.report.TakesRequests || b.stalledAndProbed(t.Addr, now, maxEventGap(job)) {
 			if reason == ReasonNoTargets {
 				reason = ReasonClosed
@@ -299,7 +308,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i, s := range b.states {
-		if t := listed[i.ID]; s.ownInFlight == 0 && (t == nil || t.Incarnation() != i) {
+		if t := listed[i.ID]; s.ownInFlight == 0 && !s.quiet(b.now()) && (t == nil || t.Incarnation() != i) {
 			delete(b.states, i)
 		}
 	}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -11,8 +11,10 @@
 	EventRecovered EventKind = "target-used"    // it has served a request after it was avoided
 	EventClosed    EventKind = "group-closed"   // its coordinator reports that it takes no requests
 	EventOpened    EventKind = "group-opened"
-	EventSilent    EventKind = "group-silent"  // it is stalled: no event for Age although it has requests in flight
-	EventAnswers   EventKind = "group-answers" // it has sent an event after it was stalled
+	EventSilent    EventKind = "group-silent"   // it is stalled: no event for Age although it has requests in flight
+	EventLeaves    EventKind = "target-leaving" // it has said in an answer that it leaves
+	EventQuiet     EventKind = "target-quiet"   // it has asked for no requests for Backoff
+	EventAnswers   EventKind = "group-answers"  // it has sent an event after it was stalled
 )
 
 // Event is a change in the balancer's assessment of a target or a group. Fields that do not apply to its kind are
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -32,8 +32,21 @@
 type waiter struct {
 	job   *Job
 	lease chan *Lease // receives the place
-	// blocked means that the targets of the request are closed or excluded for it, so that others are served before it.
-	blocked bool
+	// blockedBy is the reason why no target takes the request at present, such as a closed group; others are served
+	// before it. It is empty for a request that waits for a place.
+	blockedBy Reason
+}
+
+// blockedReason returns the reason for waiter.blockedBy of a request that got no target for the reason. Targets that are
+// all excluded or no longer listed are expected back like closed ones.
+func blockedReason(reason Reason) Reason {
+	switch reason {
+	case ReasonFull:
+		return ""
+	case ReasonNoTargets:
+		return ReasonClosed
+	}
+	return reason
 }
 
 // queueOf returns the queue of a service. The caller holds the lock.
@@ -82,24 +95,28 @@
 			return lease, nil
 		}
 	}
-	if !q.worthWaiting(job, reason, b.now()) {
+	quiet := b.quietEnd(job, job.Targets())
+	if !q.worthWaiting(job, reason, quiet, b.now()) {
 		b.mu.Unlock()
-		return nil, newRefusal(job, reason)
+		return nil, newRefusal(job, reason, quiet)
 	}
-	w := &waiter{job: job, lease: make(chan *Lease, 1), blocked: reason == ReasonClosed}
+	w := &waiter{job: job, lease: make(chan *Lease, 1), blockedBy: blockedReason(reason)}
 	q.insert(w)
 	b.mu.Unlock()
 	return b.awaitPlace(ctx, q, w)
 }
 
-// worthWaiting reports whether a job is likely to get a place in time. Closed groups open again at an unknown time, so
-// only callers that give up at the next refusal wait for them.
-func (q *queue) worthWaiting(job *Job, reason Reason, now time.Time) bool {
+// worthWaiting reports whether a job is likely to get a place in time. Closed groups open again at an unknown time, and
+// targets that want no requests for the time quiet may want none after it, so only callers that give up at the next
+// refusal wait for them.
+func (q *queue) worthWaiting(job *Job, reason Reason, quiet time.Duration, now time.Time) bool {
 	switch reason {
 	case ReasonFull:
 		return q.expectedWait(q.countAhead(job), now) <= job.MaxWait
 	case ReasonClosed:
 		return job.Returning && now.Sub(q.lastServed) < maxClosedOutage
+	case ReasonQuiet:
+		return job.Returning && quiet < job.MaxWait
 	}
 	return false
 }
@@ -112,11 +129,15 @@
 // callers whose targets are closed or have refused the request.
 const GroupReformTime = time.Second
 
-// newRefusal returns the refusal of a job with its retry-after time.
-func newRefusal(job *Job, reason Reason) *Refusal {
+// newRefusal returns the refusal of a job with its retry-after time. quiet is the time until the first of its targets
+// that want no requests wants one again.
+func newRefusal(job *Job, reason Reason, quiet time.Duration) *Refusal {
 	r := &Refusal{reason, retryAfter(job)}
-	if reason == ReasonClosed {
+	switch reason {
+	case ReasonClosed:
 		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*rand.Float64())))
+	case ReasonQuiet:
+		r.RetryAfter = quietRetryAfter(job, quiet)
 	}
 	return r
 }
@@ -132,7 +153,7 @@
 func (q *queue) countAhead(job *Job) int {
 	n := 0
 	for _, w := range q.waiting {
-		if !w.blocked && !w.job.yieldsTo(job) {
+		if w.blockedBy == "" && !w.job.yieldsTo(job) {
 			n++
 		}
 	}
@@ -176,10 +197,11 @@
 		return l, nil
 	default:
 	}
-	if w.blocked {
-		return nil, newRefusal(w.job, ReasonClosed)
+	reason := ReasonFull
+	if w.blockedBy != "" {
+		reason = w.blockedBy
 	}
-	return nil, newRefusal(w.job, ReasonFull)
+	return nil, newRefusal(w.job, reason, b.quietEnd(w.job, w.job.Targets()))
 }
 
 // dispatchAll gives free places to the waiting requests of all services. The caller holds the lock.
@@ -200,11 +222,10 @@
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			continue
 		}
-		if reason == ReasonFull {
-			w.blocked = false
+		w.blockedBy = blockedReason(reason)
+		if w.blockedBy == "" {
 			return
 		}
-		w.blocked = true
 		i++
 	}
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,16 +14,11 @@
 // arrive.
 const maxBufferedBytes = 256 << 10
 
-// maxDiscardedBytes bounds the body of a refusal that is read so that its connection can be reused.
-const maxDiscardedBytes = 4 << 10
+// maxUnframedBytes bounds an answer whose length the target does not state. Without a bound, a target that sends bytes
+// without end would keep its connection and the caller's busy until the deadline.
+const maxUnframedBytes = 32 << 20
 
-// discard reads the body of an answer that is not passed on, and closes the connection if it is longer than
-// maxDiscardedBytes.
-func (x *exchange) discard(resp *upstream.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes))
-	resp.Finish(err == nil && n < maxDiscardedBytes)
-	return nil
-}
+var errEndless = errors.New("answer without a stated length is too long")
 
 // passOnWhole passes on an answer that is not an event stream. It buffers the answer if it is small enough, so that
 // another attempt is possible if it is incomplete.
@@ -80,6 +76,19 @@
 	x.headSent = true
 }
 
+// copyRest passes on the rest of an answer that exceeds the buffer.
+func (x *exchange) copyRest(resp *upstream.Response) error {
+	if resp.Length >= 0 {
+		_, err := io.Copy(x.w, resp.Body)
+		return err
+	}
+	n, err := io.Copy(x.w, io.LimitReader(resp.Body, maxUnframedBytes))
+	if err == nil && n == maxUnframedBytes {
+		return errEndless
+	}
+	return err
+}
+
 // passOnLarge passes on an answer that exceeds the buffer. start is the part that has been read.
 func (x *exchange) passOnLarge(resp *upstream.Response, start []byte) (result, error) {
 	x.copyHead(resp)
@@ -89,7 +98,7 @@
 	x.w.WriteHeader(resp.Status)
 	_, err := x.w.Write(start)
 	if err == nil {
-		_, err = io.Copy(x.w, resp.Body)
+		err = x.copyRest(resp)
 	}
 	resp.Finish(err == nil)
 	if err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -140,15 +140,18 @@
 // handleAnswer evaluates the head of a target's answer, and passes the answer on if it is the caller's.
 func (x *exchange) handleAnswer(resp *upstream.Response) (result, error) {
 	a := x.g.HeaderTranslator.Answer(resp.Status, resp.Header)
+	x.noteTarget(a)
 	switch {
-	case a.ID != "" && a.ID != x.call.ID:
+	case a.ID != x.call.ID && (a.ID != "" || resp.Reused && !x.route.Idempotent()):
 		resp.Finish(false)
 		x.mayHaveRun = true
 		return resultBroken, errOtherRequest
 	case a.OtherTarget:
-		return resultOtherTarget, x.discard(resp)
+		resp.Discard()
+		return resultOtherTarget, nil
 	case a.NotRun:
-		return resultRefused, x.discard(resp)
+		resp.Discard()
+		return resultRefused, nil
 	case a.Encoded, !a.Stamped && resp.Status < 300:
 		resp.Finish(false)
 		x.mayHaveRun = true
@@ -161,6 +164,16 @@
 	return x.passOnWhole(resp, a)
 }
 
+// noteTarget records what an answer says about its target besides the request.
+func (x *exchange) noteTarget(a Answer) {
+	if a.Leaving && x.g.Targets.Announced(x.lease.Target.Incarnation()) {
+		x.lease.Leaves()
+	}
+	if a.Quiet > 0 {
+		x.lease.KeepQuiet(a.Quiet)
+	}
+}
+
 var (
 	errOtherRequest  = errors.New("answer belongs to another request")
 	errNotFromTarget = errors.New("answer is not the target's own")
--- a/internal/gateway/headertranslator.go
+++ b/internal/gateway/headertranslator.go
@@ -34,7 +34,10 @@
 	Stamped     bool   // carries the target's signature
 	NotRun      bool   // the target promises not to have run the request, nor to run it later
 	OtherTarget bool   // the address now belongs to another target
-	Encoded     bool   // the body has a content encoding, so it is not in the bytes that the target wrote
+	Leaving     bool   // the target leaves and wants no further requests
+	// Quiet is the time for which the target wants no request from this process. 0 if it does not ask for this.
+	Quiet   time.Duration
+	Encoded bool // the body has a content encoding, so it is not in the bytes that the target wrote
 }
 
 // HeaderTranslator translates between the headers of the platform and the types of this package.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,7 +24,12 @@
 func (x *exchange) stream(resp *upstream.Response) (result, error) {
 	buf := make([]byte, 0, eventBufferBytes)
 	last := time.Now()
+	received := 0
 	for {
+		if received > maxUnframedBytes {
+			resp.Finish(false)
+			return resultBroken, errEndless
+		}
 		if len(buf) == cap(buf) {
 			if len(buf) >= maxEventBytes {
 				resp.Finish(false)
@@ -34,6 +39,7 @@
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
+		received += n
 		if end := wholeEvents(buf); end > 0 {
 			now := time.Now()
 			gap := time.Duration(0)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -50,14 +51,15 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	sent      *countingWriter
+	received  *limitedReader
 	idleLimit time.Duration // longest idle time after which the connection may be used again
 	idleSince time.Time     // time since which the connection is idle
 }
 
 func newConn(addr string, c net.Conn) *conn {
-	sent := &countingWriter{to: c}
-	return &conn{Conn: c, addr: addr, reader: bufio.NewReaderSize(c, readBufferBytes),
-		writer: bufio.NewWriter(sent), sent: sent}
+	sent, received := &countingWriter{to: c}, &limitedReader{from: c, left: math.MaxInt64}
+	return &conn{Conn: c, addr: addr, reader: bufio.NewReaderSize(received, readBufferBytes),
+		writer: bufio.NewWriter(sent), sent: sent, received: received}
 }
 
 // abandon makes the exchange on the connection fail at once. When the connection is closed, it is then reset, so that
@@ -82,6 +84,30 @@
 	return n, err
 }
 
+// maxHeadBytes bounds the heads of the answers to one request, since a faulty target may send header lines without end.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLong = errors.New("head of the answer is too long")
+
+// limitedReader reads from the connection up to a limit.
+type limitedReader struct {
+	from io.Reader
+	left int64
+}
+
+func (r *limitedReader) limit(n int64) { r.left = n }
+
+func (r *limitedReader) unlimit() { r.left = math.MaxInt64 }
+
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.from.Read(p)
+	r.left -= int64(n)
+	return n, err
+}
+
 // usable reports whether an idle connection is open and has no unread bytes, which would belong to no request.
 func (c *conn) usable() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -46,6 +46,9 @@
 	Header http.Header
 	Length int64 // of the body; -1 if unknown
 	Body   io.Reader
+	// Reused means that the connection has carried earlier requests, so that the answer may be a late copy of the answer
+	// to one of them.
+	Reused bool
 
 	http        *http.Response
 	conn        *conn
@@ -100,8 +103,11 @@
 	return p.readResponse(c, r.Method)
 }
 
-// readResponse reads the head of the final answer and skips informational (1xx) ones.
+// readResponse reads the head of the final answer and skips informational (1xx) ones. All these heads together may have
+// maxHeadBytes.
 func (p *Pool) readResponse(c *conn, method string) (*Response, error) {
+	c.received.limit(maxHeadBytes)
+	defer c.received.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -109,7 +115,7 @@
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body,
-				http: resp, conn: c, pool: p}, nil
+				Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
 		}
 	}
 }
@@ -145,6 +151,20 @@
 	r.pool.putIdle(r.conn)
 }
 
+const (
+	// maxDiscardedBytes and discardTimeout bound the body of an unwanted answer that is read so that its connection can be
+	// reused.
+	maxDiscardedBytes = 4 << 10
+	discardTimeout    = 100 * time.Millisecond
+)
+
+// Discard finishes an answer whose body is not wanted. It keeps the connection only if the body is short.
+func (r *Response) Discard() {
+	_ = r.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes))
+	r.Finish(err == nil && n < maxDiscardedBytes)
+}
+
 // keepAliveTimeout parses the timeout parameter of a Keep-Alive header, which is in whole seconds.
 func keepAliveTimeout(h string) (time.Duration, bool) {
 	for _, part := range strings.Split(h, ",") {
