fleet: data centres of a large fleet exchange summaries

Change: in a fleet of more than 20 entries, an entry exchanges heartbeats with those of its data centre and with one contact in each other one. Contacts send the sum of the requests in flight of their data centre and its reachable entries. Leaves, configurations and members reach all entries over contacts. A contact that does not answer is replaced at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,11 +34,17 @@
 	memberExpiry = time.Minute
 )
 
+// Caller calls methods of other processes. Package peer implements it over TCP.
+type Caller interface {
+	// Call calls a method of the process at addr. in is the parameter; the result is stored in out.
+	Call(ctx context.Context, addr, method string, in, out any) error
+}
+
 // Options are the settings of a Fleet and the parts of the process that it reads and updates.
 type Options struct {
 	Self           Entry    // this entry
 	Seeds          []string // control addresses of some entries, possibly stale
-	Pool           *peer.Pool
+	Pool           Caller
 	Tables         *routetable.Store
 	Targets        *targetset.Set
 	InFlight       func() map[string]int                         // this entry's requests in flight, by target id
@@ -83,11 +89,14 @@
 // entryState is what is known about another entry.
 type entryState struct {
 	Entry
-	lastHeard     time.Time // last heartbeat from the entry itself; zero before the first
-	lastMentioned time.Time // last time that the entry or any peer named it
-	calling       bool      // a call to the entry is open
-	live          bool      // a heartbeat arrived within livenessTimeout
-	readsPlatform bool      // reads the platform itself, reaches it, and is not stopping
+	lastHeard     time.Time      // last heartbeat from the entry itself; zero before the first
+	lastReported  time.Time      // last summary that named it as reachable
+	callFailed    time.Time      // last failed call to it
+	inFlight      map[string]int // requests in flight by target id, as it stated last
+	lastMentioned time.Time      // last time that the entry or any peer named it
+	calling       bool           // a call to the entry is open
+	live          bool           // a heartbeat arrived within livenessTimeout
+	readsPlatform bool           // reads the platform itself, reaches it, and is not stopping
 }
 
 // rankState is what is known about a process beside a rank.
@@ -131,10 +140,10 @@
 	}
 }
 
-// interval returns the time between two exchanges with the same entry, given the number of known entries.
+// interval returns the time between two exchanges with the same entry, given the number of entries that this one calls
+// or is called by.
 func (f *Fleet) interval() time.Duration {
-	_, known := f.EntryCounts()
-	return min(maxExchangeInterval, max(minExchangeInterval, time.Duration(known)*exchangeIntervalPerEntry))
+	return min(maxExchangeInterval, max(minExchangeInterval, time.Duration(f.partnerCount())*exchangeIntervalPerEntry))
 }
 
 // startDueCalls starts the calls to seeds and entries that are due, and forgets members that have expired.
@@ -144,17 +153,18 @@
 	for _, addr := range f.opt.Seeds {
 		if addr != f.opt.Self.Control && f.entries[addr] == nil && now.Sub(f.lastCalls[addr]) >= seedRetryInterval {
 			f.lastCalls[addr] = now
-			go f.call(ctx, addr)
+			go f.call(ctx, Entry{Control: addr, DataCentre: f.opt.Self.DataCentre})
 		}
 	}
+	contacts := f.contacts(now)
 	for addr, e := range f.entries {
 		f.updateLiveness(e, now)
 		switch {
 		case now.Sub(e.lastMentioned) > memberExpiry:
 			delete(f.entries, addr)
-		case !e.calling && f.callDue(e, now):
+		case !e.calling && f.callDue(e, contacts, now):
 			e.calling = true
-			go f.call(ctx, addr)
+			go f.call(ctx, e.Entry)
 		}
 	}
 	for name, r := range f.ranks {
@@ -166,8 +176,12 @@
 
 // callDue reports whether this entry must call the other one now. Only the entry with the lower address calls, since
 // one call carries the heartbeats of both. The other one calls only if it has received no heartbeat for
-// calleeTakeoverAge. Both call an unreachable entry, at a lower rate.
-func (f *Fleet) callDue(e *entryState, now time.Time) bool {
+// calleeTakeoverAge. Both call an unreachable entry, at a lower rate. In a large fleet, entries of other data centres
+// are called only if they are contacts.
+func (f *Fleet) callDue(e *entryState, contacts map[string]*entryState, now time.Time) bool {
+	if f.summarizes() && f.isRemote(e.Entry) {
+		return contacts[e.DataCentre] == e
+	}
 	if now.Sub(e.lastHeard) > livenessTimeout {
 		return now.Sub(f.lastCalls[e.Control]) >= seedRetryInterval/2
 	}
@@ -176,7 +190,7 @@
 
 // updateLiveness updates whether an entry counts as reachable and reports a change. The caller holds the lock.
 func (f *Fleet) updateLiveness(e *entryState, now time.Time) {
-	live := now.Sub(e.lastHeard) <= livenessTimeout
+	live := now.Sub(e.lastHeard) <= livenessTimeout || now.Sub(e.lastReported) <= livenessTimeout
 	if e.live && !live {
 		f.opt.Notify(Event{Kind: EventPeerLost, Peer: e.Name})
 	}
@@ -186,18 +200,21 @@
 	e.live = live
 }
 
-// call exchanges heartbeats with the entry at addr.
-func (f *Fleet) call(ctx context.Context, addr string) {
+// call exchanges heartbeats with another entry.
+func (f *Fleet) call(ctx context.Context, to Entry) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	f.mu.Lock()
-	f.lastCalls[addr] = time.Now()
+	f.lastCalls[to.Control] = time.Now()
 	f.mu.Unlock()
 	var reply Heartbeat
-	err := f.opt.Pool.Call(ctx, addr, methodExchange, f.ownHeartbeat(), &reply)
+	err := f.opt.Pool.Call(ctx, to.Control, methodExchange, f.ownHeartbeat(to), &reply)
 	f.mu.Lock()
-	if e := f.entries[addr]; e != nil {
+	if e := f.entries[to.Control]; e != nil {
 		e.calling = false
+		if err != nil {
+			e.callFailed = time.Now()
+		}
 	}
 	f.mu.Unlock()
 	if err == nil {
@@ -205,19 +222,23 @@
 	}
 }
 
-// ownHeartbeat returns this entry's current heartbeat.
-func (f *Fleet) ownHeartbeat() Heartbeat {
-	list := f.opt.Targets.Snapshot()
-	return Heartbeat{
+// ownHeartbeat returns this entry's current heartbeat for another entry.
+func (f *Fleet) ownHeartbeat(to Entry) Heartbeat {
+	list, own, now := f.opt.Targets.Snapshot(), f.opt.InFlight(), time.Now()
+	h := Heartbeat{
 		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Position, Members: f.memberHash(),
-		Leaves: f.opt.Targets.Leaves(time.Now()), InFlight: encodeInFlight(list, f.opt.InFlight()), ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
+		Leaves: f.opt.Targets.Leaves(now), ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
 	}
+	if h.Summary = f.summary(to, list, own, now); h.Summary == nil {
+		h.InFlight = encodeInFlight(list, own)
+	}
+	return h
 }
 
 // serveExchange answers a heartbeat with this entry's own, and processes the received one in the background.
 func (f *Fleet) serveExchange(ctx context.Context, in Heartbeat) (Heartbeat, error) {
 	go f.handleHeartbeat(context.WithoutCancel(ctx), in)
-	return f.ownHeartbeat(), nil
+	return f.ownHeartbeat(in.From), nil
 }
 
 // handleHeartbeat processes a received heartbeat, and fetches the sender's state if it is newer than this entry's.
@@ -234,17 +255,44 @@
 	e.lastHeard = now
 	e.readsPlatform = h.ReadsPlatform && !h.Stopping
 	f.mu.Unlock()
+	if h.Summary != nil {
+		f.applySummary(h.From, h.Summary, now)
+	}
 	f.opt.Targets.Leave(h.Leaves)
 	list := f.opt.Targets.Snapshot()
-	if counts, ok := decodeInFlight(list, h); ok {
-		f.opt.ReportInFlight(h.From.Name, counts)
-	}
+	f.recordInFlight(list, h)
 	request := StateRequest{Config: f.opt.Tables.Version(), List: list.Position, Members: h.Members != f.memberHash()}
 	if h.Config > request.Config || request.List.Before(h.List) || request.Members {
 		f.fetchState(ctx, h.From, request)
 	}
 }
 
+// recordInFlight records and reports the requests in flight that a heartbeat states.
+func (f *Fleet) recordInFlight(list *targetset.Snapshot, h Heartbeat) {
+	counts, ok := decodeInFlight(list, h)
+	if !ok {
+		return
+	}
+	if h.Summary == nil && !f.storeInFlight(h.From, counts) {
+		return
+	}
+	f.opt.ReportInFlight(inFlightSource(h), counts)
+}
+
+// storeInFlight stores the requests in flight of one entry. It returns false if they are contained in the summaries of
+// the entry's data centre.
+func (f *Fleet) storeInFlight(from Entry, counts map[string]int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isRemote(from) && f.summarizes() {
+		return false
+	}
+	if e := f.entries[from.Control]; e != nil {
+		e.inFlight = counts
+	}
+	return true
+}
+
 // learnEntry records an entry that was named by itself or by a peer, and returns its state. A later incarnation
 // replaces an earlier one. The caller holds the lock.
 func (f *Fleet) learnEntry(e Entry, now time.Time) *entryState {
--- a/internal/fleet/inflight.go
+++ b/internal/fleet/inflight.go
@@ -18,11 +18,15 @@
 // decodeInFlight returns the counts of a heartbeat by target id. ok is false if the sender's target list has a
 // different position, which makes the order of its counts unknown.
 func decodeInFlight(list *targetset.Snapshot, h Heartbeat) (counts map[string]int, ok bool) {
-	if list.Position != h.List || len(list.IDs) != len(h.InFlight) {
+	encoded := h.InFlight
+	if h.Summary != nil {
+		encoded = h.Summary.InFlight
+	}
+	if list.Position != h.List || len(list.IDs) != len(encoded) {
 		return nil, false
 	}
 	counts = map[string]int{}
-	for i, n := range h.InFlight {
+	for i, n := range encoded {
 		if n > 0 {
 			counts[list.IDs[i]] = int(n)
 		}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -1,7 +1,7 @@
 // Package fleet implements membership and state exchange between the processes of camphorbank.
 //
-// Entries, the processes that accept callers' requests, find each other through seed addresses. Each pair of entries
-// exchanges heartbeats (Heartbeat) that state the sender's requests in flight and the versions of its configuration,
+// Entries, the processes that accept callers' requests, find each other through seed addresses. Each pair of entries, in
+// a large fleet only of the same data centre (see Summary), exchanges heartbeats (Heartbeat) that state the sender's requests in flight and the versions of its configuration,
 // target list and members. An entry that is behind fetches the newer state from the other one. The processes that run
 // beside the ranks of an engine group register with one entry, which returns the other ranks of the group.
 package fleet
@@ -24,6 +24,8 @@
 	Name    string `json:"n"`
 	Control string `json:"c"` // address for calls between processes
 	Started int64  `json:"s"` // start time in Unix nanoseconds; distinguishes incarnations
+	// DataCentre is the data centre of the entry.
+	DataCentre string `json:"dc,omitempty"`
 }
 
 // Rank identifies a process that runs beside one rank of an engine group.
@@ -51,6 +53,8 @@
 	InFlight      []byte `json:"if,omitempty"`
 	ReadsPlatform bool   `json:"rd,omitempty"` // the sender reads the platform itself and reaches it
 	Stopping      bool   `json:"st,omitempty"`
+	// Summary is sent instead of InFlight to entries of other data centres in a large fleet.
+	Summary *Summary `json:"sm,omitempty"`
 }
 
 // StateRequest asks an entry for the parts of its state that are newer than the sender's.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -66,7 +66,7 @@
 	e.retries = retry.NewFleetBudget(retryAllowance(s.Bounds), s.FirstStart, time.Now)
 	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logPlatform}
 	e.fleet = fleet.New(fleet.Options{
-		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano()},
+		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano(), DataCentre: s.DataCentre},
 		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets,
 		InFlight: e.balance.InFlight, ReportInFlight: e.balance.SetPeerInFlight, ReportGroup: e.reportGroup,
 		ReadsPlatform: e.watcher.ReadsPlatform, Stopping: e.stopping.Load, Notify: logFleet,
