soak: restored stores, leaves by answers, quiet targets, heads without end

New checks: an entry that has passed on a leave sends that target nothing after the drain bound, and a quiet target gets at most two requests; faults excuse neither, but a freeze or restart of the entry does.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -54,6 +54,26 @@
 			l.leaveBeganAt["i-1"], r.At = at(0), at(2100)
 			l.faultPeriods = []*faultPeriod{{What: "link to i-2", From: at(-100), To: at(50)}}
 		}, ""},
+		{"request to a target that said that it leaves", safe, func(l *recorder, c *clientRequest, r *targetRequest) {
+			told := *c
+			told.ID, told.Leaving, told.Ended, told.Answer = "q-2", "i-1", at(-2100), expectedBody("q-2", "b")
+			l.clientRequests = append(l.clientRequests, &told)
+		}, "had passed on that it leaves"},
+		{"the same from another entry", safe, func(l *recorder, c *clientRequest, r *targetRequest) {
+			told := *c
+			told.ID, told.Leaving, told.Ended, told.Answer, told.Entry = "q-2", "i-1", at(-2100), expectedBody("q-2", "b"), "e2"
+			l.clientRequests = append(l.clientRequests, &told)
+		}, ""},
+		{"requests to a quiet target", safe, func(l *recorder, c *clientRequest, r *targetRequest) {
+			asked := *r
+			asked.At, asked.QuietFor, asked.RefusedUnstarted = at(-1000), quietTime, true
+			l.targetRequests[c.ID] = append(l.targetRequests[c.ID], asked, *r, *r)
+		}, "which wanted none"},
+		{"few requests to a quiet target", safe, func(l *recorder, c *clientRequest, r *targetRequest) {
+			asked := *r
+			asked.At, asked.QuietFor, asked.RefusedUnstarted = at(-1000), quietTime, true
+			l.targetRequests[c.ID] = append(l.targetRequests[c.ID], asked, *r)
+		}, ""},
 		{"cut off by a planned restart", safe, func(l *recorder, c *clientRequest, _ *targetRequest) {
 			c.Status, c.Complete, c.Err = 0, false, errNoRemovableTarget
 			l.faultPeriods = []*faultPeriod{{What: "restart of e1", Planned: true, From: at(0), To: at(200)}}
--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -95,6 +95,9 @@
 	}
 	defer resp.Body.Close()
 	out.Status, out.Stamped = resp.StatusCode, resp.Header.Get(target.HeaderStamp) != ""
+	if resp.Header.Get(leavingHeader) != "" {
+		out.Leaving = resp.Header.Get(targetHeader)
+	}
 	if resp.StatusCode == http.StatusOK && out.Route.Kind == "stream" {
 		out.Events, out.Err = readEvents(resp.Body)
 	} else {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -52,6 +52,8 @@
 	{"group", false, (*system).breakGroup},
 	{"late orders", false, (*system).lateOrders},
 	{"configuration", true, func(w *system, _ *rand.Rand) { w.publish() }},
+	{"restore store", false, (*system).restoreStore},
+	{"leave by answers", true, (*system).leaveByAnswers},
 }
 
 // injectFaults starts faults until ctx ends, and returns when all have ended.
@@ -218,11 +220,46 @@
 	w.beginLeave(old, rng.IntN(3) > 0)
 	time.Sleep(drainBound)
 	end()
-	w.store.Delete("servers/" + old.id)
+	old.setState("")
 	time.Sleep(routes[0].Timeout)
 	old.close()
 }
 
+// leaveByAnswers starts a target and makes another one of the same service say in its answers that it leaves. Its entry
+// in the platform's list stays until the drain bound is over.
+func (w *system) leaveByAnswers(rng *rand.Rand) {
+	old, err := w.takeRemovable(rng)
+	if err != nil {
+		return
+	}
+	end := w.recorder.beginFault("leave of "+old.id, true)
+	w.addTarget(old.service, nil)
+	old.leaving.Store(true)
+	time.Sleep(2 * drainBound)
+	end()
+	old.setState("")
+	time.Sleep(routes[0].Timeout)
+	old.close()
+}
+
+// restoreStore makes the store come back from a copy that is some seconds old. The targets and the operator then write
+// what they wrote before.
+func (w *system) restoreStore(rng *rand.Rand) {
+	if !w.storeBusy.TryLock() {
+		return
+	}
+	defer w.storeBusy.Unlock()
+	defer w.recorder.beginFault("store", false)()
+	older := w.store.Copy()
+	time.Sleep(randomFaultTime(rng))
+	w.store.SetMode(store.Reset)
+	time.Sleep(randomFaultTime(rng) / 4)
+	w.store.Restore(older)
+	w.store.SetMode(store.Up)
+	time.Sleep(randomFaultTime(rng) / 2)
+	w.publishAgain()
+}
+
 // crash ends a target at once. It stays on the platform's list for targetLease.
 func (w *system) crash(rng *rand.Rand) {
 	r, err := w.takeRemovable(rng)
@@ -232,7 +269,7 @@
 	defer w.recorder.beginFault("crash of "+r.id, false)()
 	r.close()
 	time.Sleep(targetLease)
-	w.store.Delete("servers/" + r.id)
+	r.setState("")
 	w.addTarget(r.service, nil)
 }
 
--- a/test/soak/guarantees_test.go
+++ b/test/soak/guarantees_test.go
@@ -37,6 +37,7 @@
 		l.checkOrigin(id, byID[id], runs)
 		l.checkDrain(id, runs)
 	}
+	l.checkNotices(byID)
 	l.checkRetries()
 	l.checkTimeouts()
 	l.checkConfiguration()
@@ -143,6 +144,90 @@
 	}
 }
 
+// process is one incarnation of an entry.
+type process struct {
+	entry       string
+	incarnation int
+}
+
+func (c *clientRequest) process() process { return process{c.Entry, c.Incarnation} }
+
+// sentRequest is a request that an entry has sent to a target.
+type sentRequest struct {
+	targetRequest
+	client *clientRequest
+}
+
+// maxQuietRequests is the number of requests that a target may get from an entry while it wants none, and quietGrace the
+// time after which they count.
+const (
+	maxQuietRequests = 2
+	quietGrace       = 500 * time.Millisecond
+)
+
+// checkNotices checks that an entry that has passed on an answer which says that its target leaves sends that target
+// nothing after the drain bound, and that it sends nothing to a target that wants no requests. Faults excuse neither,
+// but a freeze of the entry does.
+func (l *recorder) checkNotices(byID map[string]*clientRequest) {
+	sent := map[process]map[string][]sentRequest{}
+	for id, runs := range l.targetRequests {
+		c := byID[id]
+		if c == nil {
+			continue
+		}
+		if sent[c.process()] == nil {
+			sent[c.process()] = map[string][]sentRequest{}
+		}
+		for _, r := range runs {
+			sent[c.process()][r.Target] = append(sent[c.process()][r.Target], sentRequest{r, c})
+		}
+	}
+	for _, c := range l.clientRequests {
+		if c.Leaving == "" || c.Ended.IsZero() {
+			continue
+		}
+		for _, r := range sent[c.process()][c.Leaving] {
+			if r.client.Sent.After(c.Ended.Add(drainBound)) && l.notFrozen(c.Entry, c.Ended, r.At) {
+				l.addViolation(r.client, "%s received it %v after %s had passed on that it leaves", r.Target, r.At.Sub(c.Ended), c.Entry)
+			}
+		}
+	}
+	for p, byTarget := range sent {
+		for target, list := range byTarget {
+			l.checkQuiet(p, target, list)
+		}
+	}
+}
+
+// checkQuiet checks the requests from one entry to one target for those within a time in which it wanted none.
+func (l *recorder) checkQuiet(p process, target string, list []sentRequest) {
+	for _, asked := range list {
+		if asked.QuietFor == 0 {
+			continue
+		}
+		from, to := asked.At.Add(quietGrace), asked.At.Add(asked.QuietFor)
+		n := 0
+		for _, r := range list {
+			if r.At.After(from) && r.At.Before(to) {
+				n++
+			}
+		}
+		if n > maxQuietRequests && l.notFrozen(p.entry, asked.At, to) {
+			l.addViolation(asked.client, "%s sent %d requests to %s, which wanted none for %v", p.entry, n, target, asked.QuietFor)
+		}
+	}
+}
+
+// notFrozen reports whether an entry was not suspended between two times.
+func (l *recorder) notFrozen(entry string, from, to time.Time) bool {
+	for _, d := range l.faultPeriods {
+		if d.What == "freeze of "+entry && d.From.Before(to) && (d.To.IsZero() || d.To.After(from)) {
+			return false
+		}
+	}
+	return true
+}
+
 // noRestart reports whether no process was restarted between two times, or in the settleTime before.
 func (l *recorder) noRestart(from, to time.Time) bool {
 	for _, d := range l.faultPeriods {
@@ -228,15 +313,11 @@
 // checkConfiguration checks that a process that has used a configuration does not return to an older one, and that
 // without faults every process uses a configuration soon after it was published.
 func (l *recorder) checkConfiguration() {
-	type process struct {
-		entry    string
-		lifetime int
-	}
 	used := map[process]map[int]time.Time{} // time at which each version was first seen in use
 	calls := slices.Clone(l.clientRequests)
 	slices.SortFunc(calls, func(a, b *clientRequest) int { return a.Ended.Compare(b.Ended) })
 	for _, c := range calls {
-		p := process{c.Entry, c.Incarnation}
+		p := c.process()
 		if used[p] == nil {
 			used[p] = map[int]time.Time{}
 		}
@@ -248,7 +329,7 @@
 		if c.Status != http.StatusNotFound && c.Status != http.StatusUnauthorized && c.Status != http.StatusForbidden {
 			continue
 		}
-		for v, at := range used[process{c.Entry, c.Incarnation}] {
+		for v, at := range used[c.process()] {
 			if v >= c.Route.Version && c.Sent.After(at.Add(regressSlack)) {
 				l.addViolation(c, "a process that has used configuration %d returned to a configuration older than %d", v, c.Route.Version)
 				break
--- a/test/soak/recorder_test.go
+++ b/test/soak/recorder_test.go
@@ -17,6 +17,7 @@
 	Ended       time.Time // zero while the request runs
 	Status      int       // 0 if there was no response
 	Stamped     bool      // the response has the stamp header of a target
+	Leaving     string    // id of the target that answered, if the response says that it leaves
 	Answer      string
 	Events      []string // events of a streamed response
 	Complete    bool     // the response was read to its end without an error
@@ -32,6 +33,7 @@
 	ResumeAfter      int
 	RemainingTime    time.Duration // time left, as stated in the request
 	RefusedUnstarted bool          // the target answered that it did not execute the request
+	QuietFor         time.Duration // time for which the target asked for no other request; 0 if it did not
 }
 
 // faultPeriod is the period in which a fault or an operator action was in force. What begins with the kind of the
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -100,6 +100,7 @@
 	plannedOnly bool       // only operator actions, so that no fault excuses a request that is cut off
 	storeBusy   sync.Mutex // held while a fault of the store is in force
 	groupBusy   sync.Mutex // held while the group is broken
+	config      string     // last published configuration; guarded by mu
 }
 
 func newSystem(t *testing.T, bin string, rng *rand.Rand) *system {
@@ -163,6 +164,7 @@
 	w.group = expertgroup.New(rand.New(rand.NewPCG(w.rng.Uint64(), 0)), expertgroup.Shape{
 		Ranks: rankCount, Layers: groupLayers, Experts: groupExperts, StepTime: groupStepTime, Load: expertLoadTime, Popular: 2,
 	})
+	w.group.Unfenced = w.rng.IntN(2) == 0
 	ctx, stop := context.WithCancel(context.Background())
 	w.t.Cleanup(stop)
 	go w.group.Run(ctx)
@@ -212,10 +214,11 @@
 retry_budget_ratio = %g
 retry_budget_slack = %g
 budget_window_s = %g
+fencing_enforced = %v
 [platform]
 address = %q
 `, e.name, serves, port, port, seeds, first, e.engine, listen, drainBound.Milliseconds(), graceBound.Seconds(),
-		applyBound.Milliseconds(), retryShare, retrySlack, retryWindow.Seconds(), w.storeOf(e))
+		applyBound.Milliseconds(), retryShare, retrySlack, retryWindow.Seconds(), !w.group.Unfenced, w.storeOf(e))
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -300,11 +303,22 @@
 		doc += fmt.Sprintf(`{"name":"r%d","hostname":"h","prefix":%q,"route_kind":%q,"timeout_ms":%d,"target_latency_ms":500,
 			"service":%q,"max_attempts":%d,"stream_resumption":true},`, i, r.Path, r.Kind, r.Timeout.Milliseconds(), r.Service, r.Attempts)
 	}
-	w.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"draft","engine":%s},{"name":"desk"}],
-		"tenants":[{"name":"one","api_keys":["key-one"]},{"name":"two","api_keys":["key-two"]}]}`, w.version, doc[:len(doc)-1], engineDoc()))
+	w.config = fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"draft","engine":%s},{"name":"desk"}],
+		"tenants":[{"name":"one","api_keys":["key-one"]},{"name":"two","api_keys":["key-two"]}]}`, w.version, doc[:len(doc)-1], engineDoc())
+	w.store.Put("op/config", w.config)
 	w.recorder.locked(func() { w.recorder.versions[w.version] = time.Now() })
 }
 
+// publishAgain writes the configuration and the states of all targets again, after the store has lost some of them.
+func (w *system) publishAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.Put("op/config", w.config)
+	for _, r := range w.targets {
+		r.publishState(r.state)
+	}
+}
+
 // engineDoc returns the configuration of the engines of the group.
 func engineDoc() string {
 	return fmt.Sprintf(`{"slots":%d,"stride":1,"step_ms":1,"per_seq_ms":0.1,"sets":%d,"experts":%d,"placements":%d,"spare":2,
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -32,12 +32,15 @@
 	truncating                    // executes the request and sends an incomplete response
 	extraAnswer                   // answers, and sends a second response that belongs to no request
 	slow                          // answers after slowPause
+	quiet                         // refuses the request and wants no other one for quietTime
+	endlessHead                   // executes the request and sends header lines until the connection is closed
 	answerModes                   // number of modes
 )
 
 const (
 	eventPause = 20 * time.Millisecond
 	slowPause  = 300 * time.Millisecond
+	quietTime  = 1500 * time.Millisecond
 	maxEvents  = 25
 	// engineCallTimeout is the time after which an unanswered call to an engine ends.
 	engineCallTimeout = 500 * time.Millisecond
@@ -51,8 +54,10 @@
 	rank        *expertgroup.Rank // nil if the target is not in the group
 	link        *faultproxy.Link
 	mode        atomic.Int32
+	leaving     atomic.Bool // says in all answers that it leaves
 	running     atomic.Int32
-	listed      bool // on the platform's list and not chosen to leave; guarded by system.mu
+	state       string // on the platform's list; empty if it is not listed; guarded by system.mu
+	listed      bool   // on the platform's list and not chosen to leave; guarded by system.mu
 	once        sync.Once
 }
 
@@ -74,19 +79,32 @@
 	return r
 }
 
-// publishState writes the target with the given state to the platform's list.
+// publishState writes the target with the given state to the platform's list, or removes it if the state is empty. The
+// caller holds system.mu.
 func (r *proxiedTarget) publishState(state string) {
+	r.state = state
+	if state == "" {
+		r.system.store.Delete("servers/" + r.id)
+		return
+	}
 	r.system.store.Put("servers/"+r.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v","slots":%d,"state":%q,"born":1}`,
 		r.service, r.link.Addr(), slots, state))
 }
 
+// setState changes the state of the target on the platform's list.
+func (r *proxiedTarget) setState(state string) {
+	r.system.mu.Lock()
+	defer r.system.mu.Unlock()
+	r.publishState(state)
+}
+
 // beginLeave marks a target as draining on the platform's list if announced is set, and otherwise removes it from the
 // list. It records the time at which the target began to leave.
 func (w *system) beginLeave(r *proxiedTarget, announced bool) {
 	if announced {
-		r.publishState("draining")
+		r.setState("draining")
 	} else {
-		w.store.Delete("servers/" + r.id)
+		r.setState("")
 	}
 	w.recorder.locked(func() { w.recorder.leaveBeganAt[r.id] = time.Now() })
 }
@@ -120,6 +138,11 @@
 		Account: a.Header.Get("X-Camphorbank-Tenant-Id"), RemainingTime: time.Duration(ms) * time.Millisecond}
 	busy := r.running.Add(1)
 	defer r.running.Add(-1)
+	if m == quiet {
+		seen.RefusedUnstarted, seen.QuietFor = true, quietTime
+		r.system.recorder.addTargetRequest(id, seen)
+		return r.raw(c, id, fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: 1\r\nRetry-After: %g\r\nContent-Length: 0\r\n", target.HeaderNotRun, quietTime.Seconds()))
+	}
 	if seen.RefusedUnstarted = m == refusing || busy > 2*slots || r.rank != nil && !r.rank.Status().Open; seen.RefusedUnstarted {
 		r.system.recorder.addTargetRequest(id, seen)
 		return target.RefuseNotRun()(c, a)
@@ -133,6 +156,8 @@
 		return target.Answer(http.StatusInternalServerError, "failed")(c, a)
 	case m == resetting:
 		return target.Reset()(c, a)
+	case m == endlessHead:
+		return r.sendEndlessHead(c)
 	case strings.HasPrefix(a.URI, "/draft/"):
 		return r.stream(c, id, resume, m == truncating)
 	case m == truncating:
@@ -167,17 +192,44 @@
 	return err == nil
 }
 
+// raw sends the head of an answer, to which it adds the id, and the target's leave if it leaves.
+func (r *proxiedTarget) raw(c net.Conn, id, head string) bool {
+	if r.leaving.Load() {
+		head += leavingHeader + ": 1\r\n"
+	}
+	_, err := fmt.Fprintf(c, "%s%s: %s\r\n\r\n", head, target.HeaderID, id)
+	return err == nil
+}
+
+// leavingHeader is the header of the answers of a target that leaves.
+const leavingHeader = "Server-Leaving"
+
+// sendEndlessHead sends header lines until the connection is closed.
+func (r *proxiedTarget) sendEndlessHead(c net.Conn) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+	for err == nil {
+		_, err = io.WriteString(c, "X-More: a\r\n")
+	}
+	return false
+}
+
 func (r *proxiedTarget) write(c net.Conn, id string, length int, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s",
-		target.HeaderID, id, target.HeaderStamp, length, body)
+	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Length: %d\r\n", target.HeaderStamp, targetHeader, r.id, length)) {
+		return false
+	}
+	_, err := io.WriteString(c, body)
 	return err == nil
 }
 
+// targetHeader is a header in which the targets of this test state their ids to clients.
+const targetHeader = "X-Target"
+
 // stream sends the events that follow the event number after. With cut, it closes the connection within an event.
 func (r *proxiedTarget) stream(c net.Conn, id string, after int, cut bool) bool {
 	last := eventCount(id)
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		target.HeaderID, id, target.HeaderStamp)
+	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", target.HeaderStamp, targetHeader, r.id)) {
+		return false
+	}
 	for n := after + 1; n <= last; n++ {
 		time.Sleep(eventPause)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, expectedEvent(id, n))
