--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -303,7 +303,8 @@
 	b.dispatchAll()
 }
 
-// Sweep removes the state of targets that are no longer listed and outdated reports of peers.
+// Sweep removes the state of targets that are no longer listed, outdated reports of peers, and groups that no longer
+// exist.
 func (b *Balancer) Sweep(listed map[string]*targetset.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -318,5 +319,6 @@
 			delete(b.peerInFlight, name)
 		}
 	}
+	b.removeOldGroups()
 	b.dispatchAll() // the backoff of a target may have ended
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -470,3 +470,28 @@
 		}
 	})
 }
+
+// TestOldGroupsAreForgotten guards against state that grows with every group that ever existed, and against forgetting a
+// group that still has requests of this process.
+func TestOldGroupsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(2)
+		b.UpdateGroup(groupReport("g1", 1, list[:1], 1.1))
+		b.UpdateGroup(groupReport("g2", 1, list[1:], 1.1))
+		l, r := b.Acquire(context.Background(), modelJob(list[1:]))
+		if r != nil {
+			t.Fatal(r)
+		}
+		time.Sleep(groupExpiry)
+		b.Sweep(nil)
+		if len(b.groups) != 1 || len(b.groupByEngine) != 1 || b.groups["g2"] == nil {
+			t.Errorf("%d groups and %d engines are known, want g2 and its engine", len(b.groups), len(b.groupByEngine))
+		}
+		l.Done(Served)
+		b.Sweep(nil)
+		if len(b.groups)+len(b.groupByEngine)+len(b.progress) > 0 {
+			t.Error("a group without requests is still known")
+		}
+	})
+}
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -71,6 +72,24 @@
 	b.dispatchAll()
 }
 
+// groupExpiry is the time without a report after which a group and its engines are forgotten. Until then the last report
+// still states which engines belong together.
+const groupExpiry = time.Minute
+
+// removeOldGroups forgets groups that have not been reported for groupExpiry and have no requests of this process. The
+// caller holds the lock.
+func (b *Balancer) removeOldGroups() {
+	for name, g := range b.groups {
+		p := b.progress[name]
+		if b.now().Sub(g.received) < groupExpiry || p != nil && p.running > 0 {
+			continue
+		}
+		delete(b.groups, name)
+		delete(b.progress, name)
+		maps.DeleteFunc(b.groupByEngine, func(_ string, other *group) bool { return other.report.Name == name })
+	}
+}
+
 // Group returns the name of the target's engine group, or an empty string if no report named the target.
 func (l *Lease) Group() string {
 	if l.progress == nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -172,6 +172,11 @@
 			delete(f.ranks, name)
 		}
 	}
+	for addr, at := range f.lastCalls {
+		if now.Sub(at) > memberExpiry {
+			delete(f.lastCalls, addr)
+		}
+	}
 }
 
 // callDue reports whether this entry must call the other one now. Only the entry with the lower address calls, since
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,19 +17,17 @@
 
 // Settings hold what the platform tells a process at its start. Some of them can change later; see Reloader.
 type Settings struct {
-	Name         string
-	Role         Role
-	IP           string
-	DataCentre   string
-	Ports        PortRange // for traffic between processes of camphorbank
-	Seeds        []string  // control addresses of some entries, possibly stale
-	FirstStart   bool      // no camphorbank process has run in this deployment before
-	Listen       Listen
-	LocalEngine  string // address of the engine on the same VM; empty if there is none
-	MemoryBytes  int64  // memory available to the process
-	MaxOpenFiles int    // file descriptors that the process may hold
-	Bounds       DeploymentLimits
-	Store        string // address of the platform's key-value store
+	Name        string
+	Role        Role
+	IP          string
+	DataCentre  string
+	Ports       PortRange // for traffic between processes of camphorbank
+	Seeds       []string  // control addresses of some entries, possibly stale
+	FirstStart  bool      // no camphorbank process has run in this deployment before
+	Listen      Listen
+	LocalEngine string // address of the engine on the same VM; empty if there is none
+	Bounds      DeploymentLimits
+	Store       string // address of the platform's key-value store
 }
 
 // PortRange is an inclusive range of ports.
@@ -47,12 +45,8 @@
 type DeploymentLimits struct {
 	Grace         time.Duration // from SIGTERM to SIGKILL
 	Drain         time.Duration // limit from the start of a target's drain until its last new request
-	ConfigApply   time.Duration // limit from publishing a configuration until it is in force
-	StoreTimeout  time.Duration // limit for an acknowledgement by the store
-	EventDelay    time.Duration // limit for passing on an event of a stream
 	RetryShare    float64       // retries allowed for each request
 	RetrySlack    float64       // retries allowed in addition in each window, by all processes together
 	RetryWindow   time.Duration // length of the sliding window in which retries are counted
-	StallTimeout  time.Duration // time after which an engine gives up waiting for a lost rank
 	FencingChecks bool          // engines reject orders with an outdated fencing number
 }
