listwatch, fleet: fewer calls to the store

Change: three entries watch, and a watch that returned changes of targets is followed by a pause of 0.1 s.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -60,7 +60,7 @@
 
 // maxPlatformReaders is the number of entries that read the platform at the same time. Calls to the platform are
 // limited and cost money, and the other entries learn of a change with the next heartbeat.
-const maxPlatformReaders = 6
+const maxPlatformReaders = 3
 
 // EnoughReaders reports whether this entry need not read the platform itself, because maxPlatformReaders reachable
 // entries with lower addresses do.
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -51,6 +51,9 @@
 	// maxWatchWait is the time after which the platform answers a watch without changes. A connection that no longer
 	// responds is detected soon after it, within the time in which a leaving target must be known.
 	maxWatchWait = 2500 * time.Millisecond
+	// changePause is the time after a watch that returned changes before the next one starts. Changes often come in
+	// series, and calls to the platform cost money.
+	changePause = 100 * time.Millisecond
 	// readTimeout bounds one read of the list and the configuration.
 	readTimeout = 1500 * time.Millisecond
 	// readerCheckInterval is the time between two checks whether enough other processes still read the platform.
@@ -184,6 +187,9 @@
 	}
 	w.startReregistration()
 	w.applyChanges(c)
+	if len(c.Targets) > 0 {
+		w.sleep(ctx, changePause)
+	}
 	return nil
 }
 
