--- a/internal/rankgroup/encode_test.go
+++ b/internal/rankgroup/mapupdate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"reflect"
 	"testing"
 )
@@ -48,34 +47,8 @@
 	}
 }
 
-// TestCountEncoding guards against an encoding that biases the counts.
-func TestCountEncoding(t *testing.T) {
-	before := []int64{10, 10, 10, 0, 0, 0}
-	now := []int64{1010, 110, 13, 0, 7, 0}
-	sum := make([]float64, len(now))
-	const ranks = 4000
-	for range ranks {
-		got, err := decodeCounts(encodeGrowth(now, before, 2), 2, 3)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for i, n := range got {
-			sum[i] += n / ranks
-		}
-	}
-	for i := range now {
-		want := float64(now[i] - before[i])
-		if math.Abs(sum[i]-want) > 0.02*want+3 {
-			t.Errorf("count %d is %.1f on average, want %.1f", i, sum[i], want)
-		}
-	}
-	if got := encodeGrowth([]int64{1, 2}, []int64{1, 3}, 1); got != nil {
-		t.Error("counts that went down were encoded")
-	}
-}
-
-// FuzzDecode guards against messages that crash the decoders.
-func FuzzDecode(f *testing.F) {
+// FuzzMapUpdate guards against updates that crash the decoder.
+func FuzzMapUpdate(f *testing.F) {
 	update, err := completeUpdate([][][]int{{{0, 2}, {1}}})
 	if err != nil {
 		f.Fatal(err)
@@ -87,8 +60,5 @@
 		for _, base := range []int64{completeMap, 1} {
 			_, _ = MapUpdate{Data: data, Base: base}.apply(known)
 		}
-		if got, err := decodeCounts(data, 2, 4); err == nil && len(got) != 8 {
-			t.Errorf("%d counts", len(got))
-		}
 	})
 }
--- a/test/integration/proofs_test.go
+++ b/test/integration/proofs_test.go
@@ -10,7 +10,7 @@
 // TestProofsNameRealTests guards against names of tests in docs/proofs.md that do not exist.
 func TestProofsNameRealTests(t *testing.T) {
 	defined := map[string]bool{}
-	for _, pattern := range []string{"../../internal/*/*_test.go", "../../internal/adapter/*/*_test.go", "../*/*_test.go"} {
+	for _, pattern := range []string{"../../internal/*/*_test.go", "../../internal/adapter/*/*_test.go", "../../platform/*_test.go", "../*/*_test.go"} {
 		files, err := filepath.Glob(pattern)
 		check(t, err)
 		for _, file := range files {
