node: a suspended process beside a rank does not hold up its group

A coordinator was suspended in the middle of a change. The one that took over asked the suspended process for the experts of its rank until the call's time was over, so that the engine was never asked, and the group stayed held for the rest of the 3.9 s. Orders waited as long.

Change: such calls keep time for the engine, and a process that has left a reading unanswered is passed by for a second.

Measured: TestSuspendedProcessOfRank (hangs before).

--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -43,6 +43,7 @@
 	mu             sync.Mutex
 	self           fleet.Rank
 	ranks          map[int]fleet.Rank          // known processes beside the group's ranks, by rank
+	silentAgents   map[string]time.Time        // time of the last unanswered reading of a rank's process, by control address
 	directAgents   map[string]*rankgroup.Agent // agents for engines whose own process does not answer, by address
 	engineConfig   *routetable.Engine          // engine parameters of the service; nil while they are unknown
 	seq            int64                       // number of the last group report
@@ -64,7 +65,8 @@
 // newRank creates the parts of a process beside a rank. Its group and rank are unknown until the engine states them.
 func newRank(s *Settings, a Adapters) *rank {
 	r := &rank{settings: s, adapters: a, started: time.Now(), ranks: map[int]fleet.Rank{}, directAgents: map[string]*rankgroup.Agent{},
-		peers: &peer.Pool{IdleTimeout: peerIdleTimeout}}
+		silentAgents: map[string]time.Time{},
+		peers:        &peer.Pool{IdleTimeout: peerIdleTimeout}}
 	r.engine = a.Engine(s.LocalEngine)
 	r.agent = rankgroup.NewAgent(r.engine, r.started.UnixNano())
 	r.client = &fleet.RankClient{Seeds: s.Seeds, Pool: r.peers}
--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -8,6 +10,45 @@
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 )
 
+// stubEngine is an engine that answers every call at once.
+type stubEngine struct{ rankgroup.Engine }
+
+func (stubEngine) Status(context.Context) (rankgroup.Status, error) {
+	return rankgroup.Status{Epoch: 3}, nil
+}
+func (stubEngine) Experts(context.Context) ([][]int, error)     { return [][]int{{1}}, nil }
+func (stubEngine) Order(context.Context, rankgroup.Order) error { return nil }
+
+// TestSuspendedProcessOfRank guards against a group that stays held because the process beside one rank is suspended:
+// its connections stay open and nothing answers on them, so that the calls to its engine get no time. Seen in incident
+// inc-5777, where a group was held for almost four seconds.
+func TestSuspendedProcessOfRank(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections in the kernel, and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r := newRank(&Settings{Name: "self", IP: "127.0.0.1"}, Adapters{Engine: func(string) rankgroup.Engine { return stubEngine{} }})
+	defer r.peers.Close()
+	r.ranks[1] = fleet.Rank{Name: "other", Rank: 1, Control: l.Addr().String(), Engine: "e"}
+	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+	defer cancel()
+	if experts, err := r.Experts(ctx, 1); err != nil || len(experts) != 1 {
+		t.Errorf("experts %v, error %v", experts, err)
+	}
+	if reply, err := r.Read(t.Context(), 1, rankgroup.ReadRequest{}); err != nil || reply.Status.Epoch != 3 {
+		t.Errorf("reading %+v, error %v", reply, err)
+	}
+	start := time.Now()
+	reply, err := r.Order(t.Context(), 1, rankgroup.OrderRequest{Order: rankgroup.Order{Op: rankgroup.OpRelease}, Fence: 1, TimeoutMs: 500})
+	if err != nil || reply.Result != rankgroup.ResultDone {
+		t.Errorf("order %v, error %v", reply.Result, err)
+	}
+	if d := time.Since(start); d > 100*time.Millisecond {
+		t.Errorf("the order took %v", d)
+	}
+}
+
 // TestGroupWithRanksOfOthersIsOpen guards against a group that gets no requests because some of its engines have no
 // camphorbank process beside them, and against requests for a group with a rank that has stopped answering. With ten
 // engines for each VM of camphorbank, the first fault left all streams unserved.
--- a/internal/node/ranklink.go
+++ b/internal/node/ranklink.go
@@ -14,9 +14,14 @@
 
 var errUnknownRank = errors.New("no process is known for this rank yet")
 
-// agentTimeout bounds the wait for a reading from another rank's process. After it, the rank's engine is called
-// directly.
-const agentTimeout = 150 * time.Millisecond
+const (
+	// agentTimeout bounds the wait for a reading from another rank's process. After it, the rank's engine is called
+	// directly.
+	agentTimeout = 150 * time.Millisecond
+	// silentAgentTime is the time after an unanswered reading in which the rank's engine is called directly at once. A
+	// group may be held until an order has been carried out, so orders must not wait for a suspended process.
+	silentAgentTime = time.Second
+)
 
 // findRank returns the process beside rank i of the group, and false while none is known.
 func (r *rank) findRank(i int) (fleet.Rank, bool) {
@@ -52,13 +57,34 @@
 	defer cancel()
 	var out rankgroup.ReadReply
 	if err := r.peers.Call(call, other.Control, methodRead, in, &out); err == nil {
+		r.markAgent(other.Control, true)
 		return out, nil
 	}
+	r.markAgent(other.Control, false)
 	// The status is needed to end a hold. The counts of expert choices are not worth the cost of a direct call.
 	s, err := r.adapters.Engine(other.Engine).Status(ctx)
 	return rankgroup.ReadReply{Status: s}, err
 }
 
+// markAgent records whether another rank's process has answered a reading.
+func (r *rank) markAgent(control string, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered {
+		delete(r.silentAgents, control)
+	} else {
+		r.silentAgents[control] = time.Now()
+	}
+}
+
+// agentSilent reports whether another rank's process has left a reading unanswered within silentAgentTime.
+func (r *rank) agentSilent(control string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.silentAgents[control]
+	return ok && time.Since(at) < silentAgentTime
+}
+
 // Order sends an order to a rank's engine through the process beside it, or directly if that process does not answer.
 func (r *rank) Order(ctx context.Context, i int, in rankgroup.OrderRequest) (rankgroup.OrderReply, error) {
 	other, ok := r.findRank(i)
@@ -69,8 +95,10 @@
 		return r.agent.Order(ctx, in)
 	}
 	var out rankgroup.OrderReply
-	if err := r.peers.Call(ctx, other.Control, methodOrder, in, &out); err == nil {
-		return out, nil
+	if !r.agentSilent(other.Control) {
+		if err := r.peers.Call(ctx, other.Control, methodOrder, in, &out); err == nil {
+			return out, nil
+		}
 	}
 	return r.directAgent(other.Engine).Order(context.WithoutCancel(ctx), in)
 }
@@ -97,8 +125,12 @@
 		return r.engine.Experts(ctx)
 	}
 	var out [][]int
-	if err := r.peers.Call(ctx, other.Control, methodExperts, struct{}{}, &out); err == nil {
-		return out, nil
+	call, cancel := context.WithTimeout(ctx, agentTimeout)
+	defer cancel()
+	if !r.agentSilent(other.Control) {
+		if err := r.peers.Call(call, other.Control, methodExperts, struct{}{}, &out); err == nil {
+			return out, nil
+		}
 	}
 	return r.adapters.Engine(other.Engine).Experts(ctx)
 }
