--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -142,7 +142,7 @@
 	a := x.g.HeaderTranslator.Answer(resp.Status, resp.Header)
 	x.noteTarget(a)
 	switch {
-	case a.ID != x.call.ID && (a.ID != "" || resp.Reused && !x.route.Idempotent()):
+	case x.ofOtherRequest(a, resp.Reused):
 		resp.Finish(false)
 		x.mayHaveRun = true
 		return resultBroken, errOtherRequest
@@ -164,6 +164,15 @@
 	return x.passOnWhole(resp, a)
 }
 
+// ofOtherRequest reports whether an answer belongs to another request. An answer without an id may be a late copy if its
+// connection has carried other requests, and a request that must run once cannot rely on it.
+func (x *exchange) ofOtherRequest(a Answer, reused bool) bool {
+	if a.ID == "" {
+		return reused && !x.route.Idempotent()
+	}
+	return a.ID != x.call.ID
+}
+
 // noteTarget records what an answer says about its target besides the request.
 func (x *exchange) noteTarget(a Answer) {
 	if a.Leaving && x.g.Targets.Announced(x.lease.Target.Incarnation()) {
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -171,8 +171,9 @@
 func (r *rank) startCoordinator(ctx context.Context, self fleet.Rank) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	c := rankgroup.NewCoordinator(rankgroup.Options{
-		Rank: self.Rank, Size: self.Size, Ranks: r, DataCentre: r.dataCentre, Engine: r.loadEngineConfig, SendReport: func(s rankgroup.Report) { r.sendGroupState(ctx, self, s) },
-		Notify: logGroup(self.Group), Now: time.Now, Active: func() bool { return r.isCoordinator(self.Rank) },
+		Rank: self.Rank, Size: self.Size, Ranks: r, DataCentre: r.dataCentre, Engine: r.loadEngineConfig,
+		SendReport: func(s rankgroup.Report) { r.sendGroupState(ctx, self, s) },
+		Notify:     logGroup(self.Group), Now: time.Now, Active: func() bool { return r.isCoordinator(self.Rank) },
 		Unfenced: !r.settings.Bounds.FencingChecks,
 	})
 	go c.Run(ctx)
