--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -20,8 +20,7 @@
 func (stubEngine) Order(context.Context, rankgroup.Order) error { return nil }
 
 // TestSuspendedProcessOfRank guards against a group that stays held because the process beside one rank is suspended:
-// its connections stay open and nothing answers on them, so that the calls to its engine get no time. Seen in incident
-// inc-5777, where a group was held for almost four seconds.
+// its connections stay open and nothing answers on them, so that the calls to its engine get no time.
 func TestSuspendedProcessOfRank(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections in the kernel, and never answers
 	if err != nil {
