--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -76,7 +76,7 @@
 	// idleInterval is the shortest time between two readings of the group while no map is loaded. If many branches are
 	// read, this time is intervalPerBranch times their number. Both limit the bytes that readings transfer.
 	idleInterval      = 60 * time.Millisecond
-	intervalPerBranch = 6 * time.Millisecond
+	intervalPerBranch = 3 * time.Millisecond
 	// switchPollInterval is the time between two readings of the own rank while the step of a switch is awaited.
 	switchPollInterval = 20 * time.Millisecond
 	// maxSwitchWait limits the wait for the step of a switch before the group is read again. An idle group begins no
