--- /dev/null
+++ b/internal/gateway/continuation_test.go
@@ -0,0 +1,62 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/camphorbank/camphorbank/test/standin/target"
+)
+
+// unframedHead is the head of a stream that has neither a length nor chunks and ends with its connection.
+const unframedHead = "HTTP/1.1 200 OK\r\n" + target.HeaderID + ": ID\r\n" + target.HeaderStamp + ": s\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// TestBrokenContinuationIsReportedToCaller guards against a stream that breaks off, is continued by a second target that
+// sends nothing of it, and then ends for the caller as if it were complete.
+func TestBrokenContinuationIsReportedToCaller(t *testing.T) {
+	first := map[string]target.Behaviour{
+		"unframed, inside an event": target.Raw(unframedHead+"id: 1\ndata: e1\n\nid: 2\nda", false),
+		"chunked, inside an event":  target.Stream(1, time.Millisecond, true),
+	}
+	second := map[string]target.Behaviour{
+		"unframed without an event": target.Raw(unframedHead, false),
+		"500 without a body":        target.Answer(500, ""),
+		"404 without a body":        target.Answer(404, ""),
+		"500 with a blank line":     target.Answer(500, "out of memory\n\n"),
+	}
+	for firstName, a := range first {
+		for secondName, b := range second {
+			t.Run(firstName+"; "+secondName, func(t *testing.T) {
+				f := newFixture(t, a, b)
+				got := f.do("POST", "/stream/x", "prompt")
+				if got.err == nil {
+					t.Errorf("the answer %q ended as if it were complete", got.body)
+				}
+				if !strings.HasPrefix("id: 1\ndata: e1\n\n", got.body) {
+					t.Errorf("the caller got %q, want nothing but the first event", got.body)
+				}
+				if n := f.arrivals(); n != 2 {
+					t.Errorf("%d arrivals, want 2", n)
+				}
+			})
+		}
+	}
+}
+
+// TestHalfOfALineEndingIsNoEnd guards against a stream that breaks off within the end of an event and is taken for
+// complete.
+func TestHalfOfALineEndingIsNoEnd(t *testing.T) {
+	for name, rest := range map[string]string{
+		"LF":   "id: 2\ndata: e2\n",
+		"CRLF": "id: 2\r\ndata: e2\r\n",
+		"CR":   "id: 2\r\ndata: e2\r\n\r",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := target.Raw(unframedHead+"id: 1\ndata: e1\n\n"+rest, false)
+			f := newFixture(t, b, b)
+			if got := f.do("POST", "/once/x", "prompt"); got.err == nil {
+				t.Errorf("the answer %q ended as if it were complete", got.body)
+			}
+		})
+	}
+}
