gateway: decide for each answer of a target whether it is complete

Callers saw a stream that had broken off end as if it were complete. Cause: the end of the second target's answer decided for the caller's whole stream. endStream asked whether the caller had the head of an answer, not what the present target had sent, and any answer after that head was read as a stream, whatever its status. So a continuation without an event, or an error without a body, ended the stream in order; an error with a blank line stood between the caller's events.

Now one function decides from framing, error and events how an answer ended (Ending), for streams, whole and large answers, and the reason stands in the request's line and in answer_endings_total. A continuation has to be an answer with status 200 and the same content type, with ids above the last one; without an event it is complete only if its framing says so.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,29 +24,29 @@
 // another attempt is possible if it is incomplete.
 func (x *exchange) passOnWhole(resp *upstream.Response, a Answer) (result, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
+	if ending := bodyEnding(resp.Framing, err); !ending.Complete() {
 		resp.Finish(false)
-		if x.ctx.Err() != nil {
-			return x.contextResult(result{}), err
-		}
-		return resultBroken, err
+		return x.brokenResult(ending), err
+	}
+	failure := resp.Status >= http.StatusInternalServerError
+	if failure && !x.passOnFailure(resp.Status, a) {
+		resp.Finish(len(body) < maxBufferedBytes)
+		return resultFailed, nil
+	}
+	r := resultServed
+	if failure {
+		r.name, r.leaseResult = resultFailed.name, resultFailed.leaseResult
 	}
 	if len(body) == maxBufferedBytes {
-		return x.passOnLarge(resp, body)
+		return x.passOnLarge(resp, body, r)
 	}
+	r.ending = bodyEnding(resp.Framing, nil)
 	resp.Finish(true)
-	if resp.Status >= http.StatusInternalServerError && !x.passOnFailure(resp.Status, a) {
-		return resultFailed, nil
-	}
 	x.copyHead(resp)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(resp.Status)
 	_, _ = x.w.Write(body) // the server notices on the connection that a caller has left
 	x.record.setOutcome(OutcomeServed, "")
-	r := resultServed
-	if resp.Status >= http.StatusInternalServerError {
-		r.name, r.leaseResult = resultFailed.name, resultFailed.leaseResult
-	}
 	return r, nil
 }
 
@@ -74,43 +74,58 @@
 	x.record.Status = resp.Status
 	x.record.FirstByte = time.Since(x.record.Started)
 	x.headSent = true
+	x.contentType = resp.Header.Get("Content-Type")
 }
 
-// copyRest passes on the rest of an answer that exceeds the buffer.
-func (x *exchange) copyRest(resp *upstream.Response) error {
-	if resp.Length >= 0 {
-		_, err := io.Copy(x.w, resp.Body)
-		return err
+// copyRest passes on the rest of an answer that exceeds the buffer, and returns how it ended.
+func (x *exchange) copyRest(resp *upstream.Response) (Ending, error) {
+	from := resp.Body
+	if resp.Framing != upstream.FramingLength {
+		from = io.LimitReader(resp.Body, maxUnframedBytes)
 	}
-	n, err := io.Copy(x.w, io.LimitReader(resp.Body, maxUnframedBytes))
-	if err == nil && n == maxUnframedBytes {
-		return errEndless
+	buf := make([]byte, copyBufferBytes)
+	sent := 0
+	for {
+		n, err := from.Read(buf)
+		if _, writeErr := x.w.Write(buf[:n]); writeErr != nil {
+			return BrokenLeft, writeErr
+		}
+		sent += n
+		if err == nil {
+			continue
+		}
+		if resp.Framing != upstream.FramingLength && sent == maxUnframedBytes {
+			return BrokenEndless, errEndless
+		}
+		return bodyEnding(resp.Framing, err), err
 	}
-	return err
 }
 
-// passOnLarge passes on an answer that exceeds the buffer. start is the part that has been read.
-func (x *exchange) passOnLarge(resp *upstream.Response, start []byte) (result, error) {
+// copyBufferBytes is the size of the buffer through which large answers are passed on.
+const copyBufferBytes = 32 << 10
+
+// passOnLarge passes on an answer that exceeds the buffer. start is the part that has been read, and whole the result if
+// the answer is complete.
+func (x *exchange) passOnLarge(resp *upstream.Response, start []byte, whole result) (result, error) {
 	x.copyHead(resp)
-	if resp.Length >= 0 {
+	if resp.Framing == upstream.FramingLength {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.w.WriteHeader(resp.Status)
 	_, err := x.w.Write(start)
+	ending := BrokenLeft
 	if err == nil {
-		err = x.copyRest(resp)
+		ending, err = x.copyRest(resp)
 	}
-	resp.Finish(err == nil)
-	if err != nil {
-		r := resultBroken
-		if x.r.Context().Err() != nil {
-			r = resultCallerLeft
-		}
-		x.record.setOutcome(OutcomeBroken, ReasonUnknown)
-		r.final = true
-		x.truncated = true
-		return r, err
+	resp.Finish(ending.Complete())
+	if ending.Complete() {
+		x.record.setOutcome(OutcomeServed, "")
+		whole.ending = ending
+		return whole, nil
 	}
-	x.record.setOutcome(OutcomeServed, "")
-	return resultServed, nil
+	x.record.setOutcome(OutcomeBroken, ReasonUnknown)
+	x.truncated = true
+	r := x.brokenResult(ending)
+	r.final = true
+	return r, err
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
@@ -38,7 +40,8 @@
 	result, err := x.send(lease)
 	lease.Done(result.leaseResult)
 	x.record.Attempts = append(x.record.Attempts, Attempt{Target: t.ID, Group: lease.Group(),
-		Started: started.Sub(x.record.Started), Took: time.Since(started), Result: result.name, Err: err})
+		Started: started.Sub(x.record.Started), Took: time.Since(started), Result: result.name, Ending: result.ending,
+		Events: result.events, Err: err})
 	if result.final {
 		return false
 	}
@@ -94,8 +97,10 @@
 	name        string
 	final       bool // the caller has its answer, or has left
 	leaseResult balance.Result
-	notSent     bool // no byte of the request was sent
-	notRun      bool // the request was not run and will not run
+	notSent     bool   // no byte of the request was sent
+	notRun      bool   // the request was not run and will not run
+	ending      Ending // of the target's answer; empty if it was not read to its end
+	events      int    // of the target's stream
 }
 
 var (
@@ -115,7 +120,7 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body, AtMostOnce: !x.route.Idempotent(),
 		Header: x.g.HeaderTranslator.Forward(x.r.Header, Forward{
 			Account: x.accountName(), Target: lease.Target.ID, Wait: left, Priority: x.priority(),
-			ResumeAfter: x.lastSentEventID,
+			ResumeAfter: x.lastEventID,
 		}),
 	}
 	resp, err := x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
@@ -128,10 +133,7 @@
 		}
 		x.sends++
 		x.mayHaveRun = true
-		if x.ctx.Err() != nil {
-			return x.contextResult(result{}), err
-		}
-		return resultBroken, err
+		return x.brokenResult(BrokenNoHead), err
 	}
 	x.sends++
 	return x.handleAnswer(resp)
@@ -143,9 +145,7 @@
 	x.noteTarget(a)
 	switch {
 	case x.ofOtherRequest(a, resp.Reused):
-		resp.Finish(false)
-		x.mayHaveRun = true
-		return resultBroken, errOtherRequest
+		return x.foreign(resp, errOtherRequest)
 	case a.OtherTarget:
 		resp.Discard()
 		return resultOtherTarget, nil
@@ -153,17 +153,36 @@
 		resp.Discard()
 		return resultRefused, nil
 	case a.Encoded, !a.Stamped && resp.Status < 300:
-		resp.Finish(false)
-		x.mayHaveRun = true
-		return resultBroken, errNotFromTarget
+		return x.foreign(resp, errNotFromTarget)
 	}
 	x.mayHaveRun = true
-	if x.headSent || resp.Status == http.StatusOK && x.route.Kind == "stream" {
+	switch isStream := resp.Status == http.StatusOK && x.route.Kind == routetable.KindStream; {
+	case x.headSent && (!isStream || resp.Header.Get("Content-Type") != x.contentType):
+		return x.noContinuation(resp)
+	case isStream:
 		return x.stream(resp)
 	}
 	return x.passOnWhole(resp, a)
 }
 
+// foreign drops an answer that is not the target's own answer to the request. The request may have run.
+func (x *exchange) foreign(resp *upstream.Response, err error) (result, error) {
+	resp.Finish(false)
+	x.mayHaveRun = true
+	return x.brokenResult(BrokenForeign), err
+}
+
+// noContinuation drops an answer that should continue the caller's stream and is another kind of answer.
+func (x *exchange) noContinuation(resp *upstream.Response) (result, error) {
+	r := resultBroken
+	if resp.Status >= http.StatusInternalServerError {
+		r = resultFailed
+	}
+	r.ending = BrokenNoStream
+	resp.Discard()
+	return r, fmt.Errorf("answer with status %d does not continue the stream", resp.Status)
+}
+
 // ofOtherRequest reports whether an answer belongs to another request. An answer without an id may be a late copy if its
 // connection has carried other requests, and a request that must run once cannot rely on it.
 func (x *exchange) ofOtherRequest(a Answer, reused bool) bool {
@@ -197,7 +216,7 @@
 	switch {
 	case r.notSent && len(x.record.Attempts) <= maxUnsentAttempts:
 		return true
-	case x.mayHaveRun && !x.route.Idempotent():
+	case x.mayHaveRun && !x.route.Idempotent(), x.unnumbered:
 		x.giveUp(ReasonUnknown, 0)
 	case x.sends >= x.route.MaxAttempts:
 		x.giveUp(ReasonAttempts, x.refusedRetryAfter())
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -71,13 +71,15 @@
 	deadline time.Time
 	record   Record
 
-	lease           *balance.Lease // place of the present attempt
-	failedTargets   map[targetset.Incarnation]bool
-	sends           int    // number of attempts in which bytes of the request were sent
-	headSent        bool   // the head of the answer was sent to the caller
-	lastSentEventID string // id of the last event that was sent to the caller
-	mayHaveRun      bool   // a target may have run the request
-	truncated       bool   // the answer has begun and cannot be completed, so the caller's connection is aborted
+	lease         *balance.Lease // place of the present attempt
+	failedTargets map[targetset.Incarnation]bool
+	sends         int    // number of attempts in which bytes of the request were sent
+	headSent      bool   // the head of the answer was sent to the caller
+	contentType   string // of that head
+	lastEventID   string // id of the last event that the caller has
+	unnumbered    bool   // the last event that was sent has no id, so that the stream cannot be resumed after it
+	mayHaveRun    bool   // a target may have run the request
+	truncated     bool   // the answer has begun and cannot be completed, so the caller's connection is aborted
 }
 
 // admit checks the request, finds its route and client account, and reads its body. It answers the request and returns
@@ -179,10 +181,13 @@
 	x.service = x.route.PickService()
 	x.record.Service = x.service
 	x.failedTargets = map[targetset.Incarnation]bool{}
+	if x.route.Resumable {
+		x.lastEventID = x.call.ResumeAfter
+	}
 	x.g.Retries.CountRequest(x.service)
 	for x.attempt() {
 	}
 	if x.truncated {
-		panic(http.ErrAbortHandler)
+		x.breakOff()
 	}
 }
--- a/internal/gateway/headertranslator.go
+++ b/internal/gateway/headertranslator.go
@@ -17,6 +17,7 @@
 	Key          string        // of the client account; empty without one
 	Wait         time.Duration // time for which the caller waits for the answer; 0 if unstated
 	PromptTokens int           // 0 if unstated
+	ResumeAfter  string        // id of the last event that the caller has; empty if it wants the whole stream
 }
 
 // Forward holds the information that the system adds to the headers of a request to a target.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -41,6 +41,8 @@
 	Started time.Duration // time from the start of the request to that of the attempt
 	Took    time.Duration
 	Result  string
+	Ending  Ending // of the target's answer; empty if it was not read to its end
+	Events  int    // number of events that the target sent
 	Err     error
 }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -39,9 +39,14 @@
 	_, _ = x.w.Write([]byte(body)) // the server notices on the connection that a caller has left
 }
 
-// abort closes the connection of a caller whose answer has begun, so that the answer cannot be mistaken for a complete
-// one.
+// abort breaks off an answer that has begun.
 func (x *exchange) abort(o Outcome, reason Reason) {
 	x.record.setOutcome(o, reason)
+	x.breakOff()
+}
+
+// breakOff closes the connection of a caller whose answer has begun, so that the answer cannot be mistaken for a complete
+// one.
+func (x *exchange) breakOff() {
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,129 +1,180 @@
 package gateway
 
 import (
-	"bytes"
-	"errors"
-	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-const (
-	// eventBufferBytes is the initial size of the buffer into which events are read.
-	eventBufferBytes = 4 << 10
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 256 << 10
-)
-
-var errMalformedEvents = errors.New("stream: events are malformed")
+// targetStream is the stream of one target for a request.
+type targetStream struct {
+	x        *exchange
+	resp     *upstream.Response
+	parser   eventParser
+	ready    []byte // complete blocks that have not been sent to the caller
+	events   int
+	received int       // bytes
+	last     time.Time // time of the last event
+	resumed  bool      // it is to continue after an event that the caller has
+}
 
 // stream passes events on as they arrive. It passes on complete events only, so that the stream can be resumed at
 // another target after the last one.
 func (x *exchange) stream(resp *upstream.Response) (result, error) {
-	buf := make([]byte, 0, eventBufferBytes)
-	last := time.Now()
-	received := 0
+	s := &targetStream{x: x, resp: resp, last: time.Now(), resumed: x.lastEventID != ""}
+	ending, err := s.passOn()
+	resp.Finish(ending.Complete())
+	r := resultServed
+	if ending.Complete() {
+		r.ending = ending
+		x.record.setOutcome(OutcomeServed, "")
+	} else {
+		r = x.brokenResult(ending)
+	}
+	r.events = s.events
+	return r, err
+}
+
+// brokenResult returns the result of an attempt whose answer is incomplete. If the request has reached its time limit or
+// its caller has left, that is why the answer ended.
+func (x *exchange) brokenResult(e Ending) result {
+	r := resultBroken
+	switch {
+	case e == BrokenLeft:
+		r = resultCallerLeft
+	case x.r.Context().Err() != nil:
+		r, e = x.contextResult(result{}), BrokenLeft
+	case x.ctx.Err() != nil:
+		r, e = x.contextResult(result{}), BrokenTime
+	}
+	r.ending = e
+	return r
+}
+
+// passOn passes blocks of the stream on until it ends.
+func (s *targetStream) passOn() (Ending, error) {
 	for {
-		if received > maxUnframedBytes {
-			resp.Finish(false)
-			return resultBroken, errEndless
+		space, err := s.parser.space()
+		if err != nil {
+			return BrokenLongEvent, err
 		}
-		if len(buf) == cap(buf) {
-			if len(buf) >= maxEventBytes {
-				resp.Finish(false)
-				return resultBroken, errMalformedEvents
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		n, err := s.resp.Body.Read(space)
+		s.parser.added(n)
+		if s.received += n; s.received > maxUnframedBytes {
+			return BrokenEndless, errEndless
 		}
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		received += n
-		if end := wholeEvents(buf); end > 0 {
-			now := time.Now()
-			gap := time.Duration(0)
-			if x.record.FirstByte > 0 {
-				gap = now.Sub(last)
-				x.record.LongestGap = max(x.record.LongestGap, gap)
-			}
-			x.lease.EventReceived(gap)
-			last = now
-			if !x.passOnEvents(resp, buf[:end]) {
-				resp.Finish(false)
-				return resultCallerLeft, nil
-			}
-			buf = append(buf[:0], buf[end:]...)
+		if ending := s.passOnBlocks(); ending != "" {
+			return ending, nil
 		}
-		if err == nil {
-			continue
+		if err != nil {
+			return s.end(err), err
 		}
-		return x.endStream(resp, buf, err)
 	}
 }
 
-// endStream determines the result of a target's stream that has ended with err. rest is the data after the last
-// complete event.
-func (x *exchange) endStream(resp *upstream.Response, rest []byte, err error) (result, error) {
-	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(rest)) == 0 && x.headSent {
-		resp.Finish(true)
-		x.record.setOutcome(OutcomeServed, "")
-		return resultServed, nil
+// passOnBlocks sends the complete blocks that have arrived to the caller. It returns an ending if the stream cannot go
+// on. Blocks before the first event are kept back, since another target can take over without a trace until then.
+func (s *targetStream) passOnBlocks() Ending {
+	events := 0
+	for {
+		b, ok := s.parser.next()
+		if !ok {
+			break
+		}
+		if b.isEvent {
+			if !s.follows(b.id) {
+				return s.sendReady(events, BrokenOrder)
+			}
+			s.events++
+			events++
+			s.x.noteEvent(b.id)
+		}
+		s.ready = append(s.ready, b.raw...)
 	}
-	resp.Finish(false)
-	if x.ctx.Err() != nil {
-		return x.contextResult(result{}), err
+	if events == 0 && !s.x.headSent {
+		return ""
 	}
-	return resultBroken, err
+	return s.sendReady(events, "")
 }
 
-// passOnEvents sends complete events to the caller, and reports whether the caller is still connected.
-func (x *exchange) passOnEvents(resp *upstream.Response, events []byte) bool {
-	if !x.headSent {
-		x.copyHead(resp)
-		x.w.WriteHeader(resp.Status)
+// sendReady sends the blocks in ready, which hold a number of events. It returns the ending, or BrokenLeft if the caller
+// has left.
+func (s *targetStream) sendReady(events int, ending Ending) Ending {
+	if len(s.ready) == 0 {
+		return ending
 	}
-	if _, err := x.w.Write(events); err != nil {
-		x.record.setOutcome(OutcomeLeft, "")
-		return false
+	if events > 0 {
+		s.noteEvents()
 	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		x.record.setOutcome(OutcomeLeft, "")
-		return false
+	sent := s.x.sendBlocks(s.resp, s.ready)
+	s.ready = s.ready[:0]
+	if !sent {
+		return BrokenLeft
 	}
-	if id, ok := lastEventID(events); ok {
-		x.lastSentEventID = id
-	}
-	return true
+	return ending
 }
 
-var (
-	eventEnd     = []byte("\n\n")
-	eventEndCRLF = []byte("\r\n\r\n")
-	idField      = []byte("id:")
-)
+// noteEvents records the time of the events that have arrived.
+func (s *targetStream) noteEvents() {
+	now, gap := time.Now(), time.Duration(0)
+	if s.x.record.FirstByte > 0 {
+		gap = now.Sub(s.last)
+		s.x.record.LongestGap = max(s.x.record.LongestGap, gap)
+	}
+	s.x.lease.EventReceived(gap)
+	s.last = now
+}
 
-// wholeEvents returns the length of the complete events at the start of the buffer.
-func wholeEvents(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, eventEnd); i >= 0 {
-		end = i + len(eventEnd)
+// follows reports whether an event with the id may be sent to the caller now. Ids increase and may have gaps. Those that
+// are no numbers can only be told from the one before them.
+func (s *targetStream) follows(id string) bool {
+	last := s.x.lastEventID
+	if id == "" || last == "" {
+		return true
 	}
-	if i := bytes.LastIndex(b, eventEndCRLF); i >= 0 {
-		end = max(end, i+len(eventEndCRLF))
+	n, err := strconv.ParseUint(id, 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	if err == nil && lastErr == nil {
+		return n > before
 	}
-	return end
+	return id != last
 }
 
-// lastEventID returns the id of the last event that has one.
-func lastEventID(events []byte) (string, bool) {
-	for len(events) > 0 {
-		i := bytes.LastIndexByte(events[:len(events)-1], '\n') + 1
-		line := bytes.TrimRight(events[i:], "\r\n")
-		if bytes.HasPrefix(line, idField) {
-			return string(bytes.TrimSpace(line[len(idField):])), true
+// end returns the ending of a stream that was read until err. It sends what follows the last block if that is no part of
+// an event, so that the caller gets the whole answer.
+func (s *targetStream) end(err error) Ending {
+	rest, inEvent := s.parser.rest()
+	ending := streamEnding(s.resp.Framing, err, s.events, inEvent, s.resumed)
+	if ending.Complete() {
+		s.ready = append(s.ready, rest...)
+		if len(s.ready) > 0 || !s.x.headSent {
+			return s.sendReady(0, ending)
 		}
-		events = events[:i]
 	}
-	return "", false
+	return ending
+}
+
+// noteEvent records an event that is sent to the caller.
+func (x *exchange) noteEvent(id string) {
+	if x.unnumbered = id == ""; !x.unnumbered {
+		x.lastEventID = id
+	}
+}
+
+// sendBlocks sends a part of a stream to the caller, and reports whether the caller is still connected.
+func (x *exchange) sendBlocks(resp *upstream.Response, data []byte) bool {
+	if !x.headSent {
+		x.copyHead(resp)
+		x.w.WriteHeader(resp.Status)
+	}
+	_, err := x.w.Write(data)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil {
+		x.record.setOutcome(OutcomeLeft, "")
+	}
+	return err == nil
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,7 @@
 	Requests          = expvar.NewMap("requests_total")           // by outcome
 	NotServed         = expvar.NewMap("not_served_total")         // by reason
 	Attempts          = expvar.NewMap("tries_total")              // attempts at targets, by result
+	AnswerEndings     = expvar.NewMap("answer_endings_total")     // answers of targets, by how they ended
 	PlatformEvents    = expvar.NewMap("platform_events_total")    // updates from the platform and its outages, by kind
 	PeerEvents        = expvar.NewMap("peer_events_total")        // updates from other entries and their outages, by kind
 	GroupEvents       = expvar.NewMap("group_events_total")       // events of the coordinated engine group, by kind
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -44,8 +44,9 @@
 	log.WithFields(f).Info("request")
 }
 
-// formatAttempts returns the attempts of a request as comma-separated text: TARGET@GROUP:RESULT:START+DURATION(ERROR),
-// where START is relative to the request's arrival. The group and the error are left out if there are none.
+// formatAttempts returns the attempts of a request as comma-separated text:
+// TARGET@GROUP:RESULT/ENDING/EVENTS:START+DURATION(ERROR), where START is relative to the request's arrival. What does not
+// apply is left out.
 func formatAttempts(list []gateway.Attempt) string {
 	var b strings.Builder
 	for i, a := range list {
@@ -56,7 +57,14 @@
 		if a.Group != "" {
 			b.WriteString("@" + a.Group)
 		}
-		b.WriteString(":" + a.Result + ":" + a.Started.String() + "+" + a.Took.String())
+		b.WriteString(":" + a.Result)
+		if a.Ending != "" {
+			b.WriteString("/" + string(a.Ending))
+		}
+		if a.Events > 0 {
+			b.WriteString("/" + strconv.Itoa(a.Events))
+		}
+		b.WriteString(":" + a.Started.String() + "+" + a.Took.String())
 		if a.Err != nil {
 			b.WriteString("(" + a.Err.Error() + ")")
 		}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -28,6 +28,9 @@
 	}
 	for _, a := range r.Attempts {
 		metrics.Attempts.Add(a.Result, 1)
+		if a.Ending != "" {
+			metrics.AnswerEndings.Add(string(a.Ending), 1)
+		}
 	}
 	metrics.RequestDuration.Observe(r.Duration)
 	if r.FirstByte > 0 {
@@ -78,6 +81,9 @@
 	}
 	for i, t := range r.Attempts {
 		a := decision.Attempt{Number: i + 1, Target: t.Target, Started: r.Started.Add(t.Started), Duration: t.Took, Message: t.Result}
+		if t.Ending != "" {
+			a.Message += " (" + string(t.Ending) + ")"
+		}
 		if t.Err != nil {
 			a.Message += ": " + t.Err.Error()
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,12 +41,24 @@
 	return errors.As(err, &e) && !e.Sent
 }
 
+// Framing is how the head of an answer states where its body ends.
+type Framing int
+
+// Framings of answers.
+const (
+	FramingNone       Framing = iota // the method or the status allows no body
+	FramingLength                    // by a length
+	FramingChunked                   // by chunks
+	FramingConnection                // not at all: the body ends with the connection
+)
+
 // Response is the answer of a target. Finish must be called once the body has been read or is no longer needed.
 type Response struct {
-	Status int
-	Header http.Header
-	Length int64 // of the body; -1 if unknown
-	Body   io.Reader
+	Status  int
+	Header  http.Header
+	Length  int64 // of the body; -1 if unknown
+	Framing Framing
+	Body    io.Reader
 	// Reused means that the connection has carried earlier requests, so that the answer may be a late copy of the answer
 	// to one of them.
 	Reused bool
@@ -115,11 +128,24 @@
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body,
-				Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
+				Framing: framingOf(resp, method), Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
 		}
 	}
 }
 
+// framingOf returns the framing of the answer to a request with the method.
+func framingOf(r *http.Response, method string) Framing {
+	switch {
+	case method == http.MethodHead, r.StatusCode == http.StatusNoContent, r.StatusCode == http.StatusNotModified:
+		return FramingNone
+	case r.ContentLength >= 0:
+		return FramingLength
+	case slices.Contains(r.TransferEncoding, "chunked"):
+		return FramingChunked
+	}
+	return FramingConnection
+}
+
 // writeRequest writes a request to the connection.
 func writeRequest(c *conn, r *Request) error {
 	w := c.writer
