gateway: reset the connection of an HTTP/1.0 caller whose answer breaks off

Over HTTP/1.0 an answer without a length ends with its connection, so that one that broke off and was only closed looked complete. TestBrokenAnswerOverHTTP10 read an ordinary end before; it now sees a reset after the first event.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -1,7 +1,11 @@
 package gateway_test
 
 import (
+	"errors"
+	"io"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,3 +64,22 @@
 		})
 	}
 }
+
+// TestBrokenAnswerOverHTTP10 guards against an answer that breaks off and ends for a caller of HTTP/1.0 like a complete
+// one, with an ordinary close of its connection.
+func TestBrokenAnswerOverHTTP10(t *testing.T) {
+	f := newFixture(t, target.Stream(1, time.Millisecond, true), target.Answer(500, ""))
+	c, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /stream/x HTTP/1.0\r\nHost: test.example\r\n"+target.HeaderID+": req-1\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if !errors.Is(err, syscall.ECONNRESET) || !strings.HasSuffix(string(got), "id: 1\ndata: e1\n\n") {
+		t.Errorf("the connection ended with %v after %q, want a reset after the first event", err, got)
+	}
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -48,5 +49,24 @@
 // breakOff closes the connection of a caller whose answer has begun, so that the answer cannot be mistaken for a complete
 // one.
 func (x *exchange) breakOff() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// resetCaller resets the caller's connection. An answer over HTTP/1.0 has no chunks, so that one without a length ends
+// like a complete one if its connection is only closed.
+func (x *exchange) resetCaller() {
+	c, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		return // the connection has failed already
+	}
+	if limited, ok := c.(*limitedConn); ok {
+		c = limited.Conn
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
