--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -134,12 +134,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
-			conn, err := net.Dial("tcp", limitedServer(t, f, limits))
+			addr := limitedServer(t, f, limits)
+			started := time.Now()
+			conn, err := net.Dial("tcp", addr)
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer conn.Close()
-			started := time.Now()
 			if _, err := io.WriteString(conn, c.input); err != nil {
 				t.Fatal(err)
 			}
