gateway: end no answer in order for a caller that has closed its sending side

net/http ends the context of a request when it reads the end of the caller's bytes, also if the caller still reads. The gateway took that for a caller that has left and returned, so that net/http completed the answer: a stream of 4 of 50 events with the last chunk, or an empty 200 before any head. Such a connection is now broken off. TestHalfClosedCallerGetsNoEnd failed in both cases before and passes. TestBadInput closed its sending side and saw only the status, so that its cases with 200 could pass on that empty 200: it keeps the sending side open for them and checks the body, which is stricter.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -1,9 +1,11 @@
 package gateway_test
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -83,3 +85,40 @@
 		t.Errorf("the connection ended with %v after %q, want a reset after the first event", err, got)
 	}
 }
+
+// TestHalfClosedCallerGetsNoEnd guards against an answer that looks complete to a caller that has closed only its sending
+// side, which counts as having left.
+func TestHalfClosedCallerGetsNoEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		b    target.Behaviour
+	}{
+		"stream":          {"/stream/x", target.Stream(50, 20*time.Millisecond, false)},
+		"before its head": {"/safe/x", target.Silent(time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, c.b, c.b)
+			conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: test.example\r\n"+target.HeaderID+": req-1\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return // closed without an answer
+			}
+			defer resp.Body.Close()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("status %d, %q ended as if it were complete", resp.StatusCode, body)
+			}
+		})
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -187,7 +187,7 @@
 	x.g.Retries.CountRequest(x.service)
 	for x.attempt() {
 	}
-	if x.truncated {
-		x.breakOff()
+	if x.truncated || x.record.Outcome == OutcomeLeft {
+		x.breakOff() // a caller that has closed only its sending side still reads
 	}
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -68,9 +68,9 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
 			addr := limitedServer(t, f, routetable.Limits{HeaderBytes: 1000, BodyBytes: 1000})
-			status := sendRaw(t, addr, c.input)
-			if status != c.want {
-				t.Errorf("status %d, want %d", status, c.want)
+			status, body := sendRaw(t, addr, c.input, c.want != 0)
+			if status != c.want || c.want == 200 && body != "ok" {
+				t.Errorf("status %d with body %q, want %d", status, body, c.want)
 			}
 			if n := f.arrivals(); n != 0 && c.want != 200 {
 				t.Errorf("%d requests reached targets", n)
@@ -79,9 +79,9 @@
 	}
 }
 
-// sendRaw sends input on a new connection, closes the sending side and returns the status of the answer, or 0 without
-// one.
-func sendRaw(t *testing.T, addr, input string) int {
+// sendRaw sends input on a new connection and returns the status and the body of the answer, or 0 without one. It closes
+// the sending side after the input unless keep is set: a caller that does so counts as having left.
+func sendRaw(t *testing.T, addr, input string, keep bool) (status int, body string) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -93,15 +93,21 @@
 	if _, err := io.WriteString(c, input); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
-		t.Fatal(err)
+	if !keep {
+		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Errorf("the body ends with %v", err)
+	}
+	return resp.StatusCode, string(data)
 }
 
 // TestSmuggledRequest guards against request smuggling: a second request inside the body of the first one, which is run
@@ -111,7 +117,7 @@
 	addr := limitedServer(t, f, routetable.Limits{})
 	inner := "POST /unsafe/evil HTTP/1.1\r\nHost: h\r\n\r\n"
 	input := validHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
-	sendRaw(t, addr, input)
+	sendRaw(t, addr, input, true)
 	for _, a := range append(f.first.Arrivals(), f.second.Arrivals()...) {
 		if a.URI != "/unsafe/x" || a.Body != inner || len(a.Header["Transfer-Encoding"]) > 0 {
 			t.Errorf("a target got %s with %q", a.URI, a.Body)
