gateway: a line of any field begins an event

A stream that ended after lines without data or id, such as event: or retry:, counted as complete: only data and id marked the rest as part of an event. TestHalfOfAnEventIsNoEnd, with two more cases than before, failed in these and passes.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -49,10 +49,12 @@
 	}
 }
 
-// TestHalfOfALineEndingIsNoEnd guards against a stream that breaks off within the end of an event and is taken for
-// complete.
-func TestHalfOfALineEndingIsNoEnd(t *testing.T) {
+// TestHalfOfAnEventIsNoEnd guards against a stream that breaks off within an event, such as in its end or after a line
+// without data, and is taken for complete.
+func TestHalfOfAnEventIsNoEnd(t *testing.T) {
 	for name, rest := range map[string]string{
+		"type": "event: token\n",
+		"time": "retry: 300\r\n",
 		"LF":   "id: 2\ndata: e2\n",
 		"CRLF": "id: 2\r\ndata: e2\r\n",
 		"CR":   "id: 2\r\ndata: e2\r\n\r",
--- a/internal/gateway/eventparser.go
+++ b/internal/gateway/eventparser.go
@@ -30,6 +30,7 @@
 	scanned   int  // bytes of buf that have been examined
 	loneCR    bool // a line has ended with CR alone, so that the stream does not use CRLF
 	current   block
+	inBlock   bool // the current block has a line that is no comment
 }
 
 // space returns a part of the buffer into which the next bytes of the stream are read. Blocks returned before are no
@@ -67,7 +68,7 @@
 		}
 		done := p.current
 		done.raw = p.buf[p.start:end]
-		p.current, p.start = block{}, end
+		p.current, p.inBlock, p.start = block{}, false, end
 		return done, true
 	}
 }
@@ -99,6 +100,7 @@
 // readField evaluates a line of a block that is not blank.
 func (p *eventParser) readField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	p.inBlock = p.inBlock || len(name) > 0
 	switch string(name) {
 	case "id":
 		p.current.isEvent = true
@@ -108,9 +110,9 @@
 	}
 }
 
-// rest returns the bytes after the last complete block, and whether they belong to an event.
+// rest returns the bytes after the last complete block, and whether they may belong to an event.
 func (p *eventParser) rest() (raw []byte, inEvent bool) {
-	line := p.buf[p.lineStart:]
+	line := bytes.TrimSuffix(p.buf[p.lineStart:], []byte("\r"))
 	comment := len(line) == 0 || line[0] == ':'
-	return p.buf[p.start:], p.current.isEvent || !comment
+	return p.buf[p.start:], p.inBlock || !comment
 }
