gateway: treat each answer of events as a stream

Whether an answer is a stream was decided by the kind of its route and status 200. The type of the answer decides too now. Only streams of routes that allow it are continued.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/balance"
@@ -156,8 +157,8 @@
 		return x.foreign(resp, errNotFromTarget)
 	}
 	x.mayHaveRun = true
-	switch isStream := resp.Status == http.StatusOK && x.route.Kind == routetable.KindStream; {
-	case x.headSent && (!isStream || resp.Header.Get("Content-Type") != x.contentType):
+	switch isStream := x.isStream(resp); {
+	case x.headSent && (!isStream || !x.sameContentType(resp)):
 		return x.noContinuation(resp)
 	case isStream:
 		return x.stream(resp)
@@ -165,6 +166,29 @@
 	return x.passOnWhole(resp, a)
 }
 
+// eventStreamType is the media type of event streams.
+const eventStreamType = "text/event-stream"
+
+// isStream reports whether the answer is a stream of events. Answers of stream routes need not state their type.
+func (x *exchange) isStream(resp *upstream.Response) bool {
+	if resp.Status == http.StatusOK && x.route.Kind == routetable.KindStream {
+		return true
+	}
+	return resp.Status < http.StatusMultipleChoices && resp.Framing != upstream.FramingNone &&
+		mediaType(resp.Header.Get("Content-Type")) == eventStreamType
+}
+
+// sameContentType reports whether an answer has the type of the answer that it continues.
+func (x *exchange) sameContentType(resp *upstream.Response) bool {
+	return x.contentType == resp.Header.Get("Content-Type")
+}
+
+// mediaType returns the media type in a Content-Type header, without its parameters.
+func mediaType(contentType string) string {
+	t, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // foreign drops an answer that is not the target's own answer to the request. The request may have run.
 func (x *exchange) foreign(resp *upstream.Response, err error) (result, error) {
 	resp.Finish(false)
@@ -216,7 +240,7 @@
 	switch {
 	case r.notSent && len(x.record.Attempts) <= maxUnsentAttempts:
 		return true
-	case x.mayHaveRun && !x.route.Idempotent(), x.unnumbered:
+	case x.mayHaveRun && !x.route.Idempotent(), x.headSent && (!x.route.Resumable || x.unnumbered):
 		x.giveUp(ReasonUnknown, 0)
 	case x.sends >= x.route.MaxAttempts:
 		x.giveUp(ReasonAttempts, x.refusedRetryAfter())
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -124,3 +124,21 @@
 		})
 	}
 }
+
+// TestEventsOnAnyRoute guards against an event stream that breaks off inside an event and gets a length of the gateway's
+// own, because its route or its status is not that of a stream.
+func TestEventsOnAnyRoute(t *testing.T) {
+	cut := "id: 1\ndata: e1\n\nid: 2\nda"
+	for name, c := range map[string]struct{ path, head string }{
+		"safe":    {"/safe/x", unframedHead},
+		"unsafe":  {"/unsafe/x", unframedHead},
+		"created": {"/once/x", strings.Replace(unframedHead, "200 OK", "201 Created", 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, target.Raw(c.head+cut, false), target.Raw(c.head+cut, false))
+			if got := f.do("POST", c.path, "prompt"); got.err == nil || got.body != "id: 1\ndata: e1\n\n" || f.arrivals() != 1 {
+				t.Errorf("%q with error %v after %d arrivals", got.body, got.err, f.arrivals())
+			}
+		})
+	}
+}
