gateway: compare the media type of a continuation, not its spelling

A sound continuation was dropped if its Content-Type had another spelling, parameters or was missing. TestContinuationWithAnotherSpellingOfItsType failed before and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,9 +178,10 @@
 		mediaType(resp.Header.Get("Content-Type")) == eventStreamType
 }
 
-// sameContentType reports whether an answer has the type of the answer that it continues.
+// sameContentType reports whether an answer has the media type of the answer that it continues, as far as both state one.
 func (x *exchange) sameContentType(resp *upstream.Response) bool {
-	return x.contentType == resp.Header.Get("Content-Type")
+	continued, next := mediaType(x.contentType), mediaType(resp.Header.Get("Content-Type"))
+	return continued == next || continued == "" || next == ""
 }
 
 // mediaType returns the media type in a Content-Type header, without its parameters.
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -142,3 +142,15 @@
 		})
 	}
 }
+
+// TestContinuationWithAnotherSpellingOfItsType guards against a sound continuation that is refused because its head spells
+// the type of the stream in another way.
+func TestContinuationWithAnotherSpellingOfItsType(t *testing.T) {
+	for _, contentType := range []string{"Content-Type: Text/Event-Stream; charset=utf-8\r\n", ""} {
+		head := strings.Replace(unframedHead, "Content-Type: text/event-stream\r\n", contentType, 1)
+		f := newFixture(t, target.Stream(1, time.Millisecond, true), target.Raw(head+"id: 2\ndata: e2\n\n", false))
+		if got := f.do("POST", "/stream/x", "prompt"); got.err != nil || got.body != "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" {
+			t.Errorf("%q: %q with error %v", contentType, got.body, got.err)
+		}
+	}
+}
