gateway: compare a continuation with what the caller has

An empty continuation ended a stream whose next event had begun at the first target, and events without ids were passed on although the caller could have them already: the check of continuations saw only the answer itself. The exchange now remembers that an event has begun, and a continuation has to begin with an id.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -154,3 +155,39 @@
 		}
 	}
 }
+
+// chunkedEvents returns a behaviour that sends an event stream in one chunk and ends it in order.
+func chunkedEvents(events string) target.Behaviour {
+	chunk := ""
+	if events != "" {
+		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(events), events)
+	}
+	return target.Raw(strings.TrimSuffix(unframedHead, "\r\n")+"Transfer-Encoding: chunked\r\n\r\n"+chunk+"0\r\n\r\n", true)
+}
+
+// TestEmptyContinuationOfABegunEvent guards against a stream whose next event had begun, and that ends as complete since
+// the second target says that nothing is left.
+func TestEmptyContinuationOfABegunEvent(t *testing.T) {
+	f := newFixture(t, target.Stream(1, time.Millisecond, true), chunkedEvents(""))
+	if got := f.do("POST", "/stream/x", "prompt"); got.err == nil {
+		t.Errorf("%q ended as if it were complete", got.body)
+	}
+}
+
+// TestEmptyContinuationAfterTheLastEvent guards against a stream that is broken off although another target says that
+// nothing is left.
+func TestEmptyContinuationAfterTheLastEvent(t *testing.T) {
+	f := newFixture(t, target.Raw(strings.TrimSuffix(unframedHead, "\r\n")+"Content-Length: 99\r\n\r\nid: 1\ndata: e1\n\n", false), chunkedEvents(""))
+	if got := f.do("POST", "/stream/x", "prompt"); got.err != nil || got.body != "id: 1\ndata: e1\n\n" {
+		t.Errorf("%q with error %v", got.body, got.err)
+	}
+}
+
+// TestContinuationWithoutIDs guards against events that a caller gets twice because the continuation has no ids and begins
+// at the start.
+func TestContinuationWithoutIDs(t *testing.T) {
+	f := newFixture(t, target.Stream(1, time.Millisecond, true), chunkedEvents("data: e1\n\ndata: e2\n\n"))
+	if got := f.do("POST", "/stream/x", "prompt"); got.err == nil || got.body != "id: 1\ndata: e1\n\n" {
+		t.Errorf("%q with error %v", got.body, got.err)
+	}
+}
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -76,16 +76,16 @@
 }
 
 // streamEnding returns the ending of a stream that was read until err and had the number of events. inEvent states that
-// bytes of another event followed the last one, and resumed that the stream was to continue after an event that the
-// caller has.
-func streamEnding(f upstream.Framing, err error, events int, inEvent, resumed bool) Ending {
+// bytes of another event followed the last one, and mayBeEmpty that the stream was to continue after an event that the
+// caller has and that may be the last one.
+func streamEnding(f upstream.Framing, err error, events int, inEvent, mayBeEmpty bool) Ending {
 	e := bodyEnding(f, err)
 	switch {
 	case !e.Complete():
 		return e
 	case inEvent:
 		return BrokenInEvent
-	case events == 0 && (!resumed || e == EndConnection):
+	case events == 0 && (!mayBeEmpty || e == EndConnection):
 		// An empty continuation says that nothing is left only if its framing shows that it is whole.
 		return BrokenNoEvent
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,6 +18,7 @@
 	received int       // bytes
 	last     time.Time // time of the last event
 	resumed  bool      // it is to continue after an event that the caller has
+	numbered bool      // an event with an id has arrived
 }
 
 // stream passes events on as they arrive. It passes on complete events only, so that the stream can be resumed at
@@ -27,6 +28,10 @@
 	ending, err := s.passOn()
 	resp.Finish(ending.Complete())
 	r := resultServed
+	if !ending.Complete() {
+		_, inEvent := s.parser.rest()
+		x.eventBegun = x.eventBegun || inEvent
+	}
 	if ending.Complete() {
 		r.ending = ending
 		x.record.setOutcome(OutcomeServed, "")
@@ -89,6 +94,7 @@
 			}
 			s.events++
 			events++
+			s.numbered = s.numbered || b.id != ""
 			s.x.noteEvent(b.id)
 		}
 		s.ready = append(s.ready, b.raw...)
@@ -128,11 +134,12 @@
 }
 
 // follows reports whether an event with the id may be sent to the caller now. Ids increase and may have gaps. Those that
-// are no numbers can only be told from the one before them.
+// are no numbers can only be told from the one before them. A continuation has to begin with an id, as nothing else shows
+// that the caller does not have its events already.
 func (s *targetStream) follows(id string) bool {
 	last := s.x.lastEventID
 	if id == "" || last == "" {
-		return true
+		return s.numbered || !s.resumed
 	}
 	n, err := strconv.ParseUint(id, 10, 64)
 	before, lastErr := strconv.ParseUint(last, 10, 64)
@@ -146,7 +153,7 @@
 // an event, so that the caller gets the whole answer.
 func (s *targetStream) end(err error) Ending {
 	rest, inEvent := s.parser.rest()
-	ending := streamEnding(s.resp.Framing, err, s.events, inEvent, s.resumed)
+	ending := streamEnding(s.resp.Framing, err, s.events, inEvent, s.resumed && !s.x.eventBegun)
 	if ending.Complete() {
 		s.ready = append(s.ready, rest...)
 		if len(s.ready) > 0 || !s.x.headSent {
@@ -158,6 +165,7 @@
 
 // noteEvent records an event that is sent to the caller.
 func (x *exchange) noteEvent(id string) {
+	x.eventBegun = false
 	if x.unnumbered = id == ""; !x.unnumbered {
 		x.lastEventID = id
 	}
