gateway: end a stream at a line that is no field

A second answer behind the events of a stream without a length was passed on to the caller: lines without a colon were ignored by the parser and copied. Such a line now breaks the stream off. TestSecondAnswerInAStream failed before and passes.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -191,3 +191,14 @@
 		t.Errorf("%q with error %v", got.body, got.err)
 	}
 }
+
+// TestSecondAnswerInAStream guards against the bytes of a second answer that stand between the events of a stream without
+// a length.
+func TestSecondAnswerInAStream(t *testing.T) {
+	second := "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops\n\n"
+	b := target.Raw(unframedHead+"id: 1\ndata: e1\n\n"+second, false)
+	f := newFixture(t, b, b)
+	if got := f.do("POST", "/once/x", "prompt"); got.err == nil || got.body != "id: 1\ndata: e1\n\n" {
+		t.Errorf("%q with error %v", got.body, got.err)
+	}
+}
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -31,6 +31,7 @@
 	BrokenInEvent    Ending = "inside-event" // its stream ended within an event
 	BrokenLongEvent  Ending = "long-event"   // an event exceeds the bound
 	BrokenNoEvent    Ending = "no-event"     // its stream had no event
+	BrokenMalformed  Ending = "malformed"    // a line of its stream is no field of an event
 	BrokenOrder      Ending = "event-order"  // an event does not follow the one before it
 	BrokenNoStream   Ending = "no-stream"    // it should continue a stream, but is no answer of that kind
 	BrokenForeign    Ending = "foreign"      // it is not the target's own answer to this request
--- a/internal/gateway/eventparser.go
+++ b/internal/gateway/eventparser.go
@@ -19,6 +19,7 @@
 type block struct {
 	raw     []byte // all bytes; valid until the next call of space
 	isEvent bool   // has data or an id
+	invalid bool   // has a line that is no field, such as the head of another answer
 	id      string // empty if it has none
 }
 
@@ -99,7 +100,7 @@
 
 // readField evaluates a line of a block that is not blank.
 func (p *eventParser) readField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+	name, value, colon := bytes.Cut(line, []byte(":"))
 	p.inBlock = p.inBlock || len(name) > 0
 	switch string(name) {
 	case "id":
@@ -107,9 +108,16 @@
 		p.current.id = string(bytes.TrimPrefix(value, []byte(" ")))
 	case "data":
 		p.current.isEvent = true
+	default:
+		p.current.invalid = p.current.invalid || !colon && !knownField(name)
 	}
 }
 
+// knownField reports whether the name is that of a field that may stand without a colon.
+func knownField(name []byte) bool {
+	return string(name) == "event" || string(name) == "retry"
+}
+
 // rest returns the bytes after the last complete block, and whether they may belong to an event.
 func (p *eventParser) rest() (raw []byte, inEvent bool) {
 	line := bytes.TrimSuffix(p.buf[p.lineStart:], []byte("\r"))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,6 +88,9 @@
 		if !ok {
 			break
 		}
+		if b.invalid {
+			return s.sendReady(events, BrokenMalformed)
+		}
 		if b.isEvent {
 			if !s.follows(b.id) {
 				return s.sendReady(events, BrokenOrder)
