gateway: pass comments of a stream on at once

Comments before the first event were kept back, up to 32 MB, so that they did not keep the caller's connection alive. TestCommentsArePassedOnAtOnce failed before and passes.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -202,3 +202,25 @@
 		t.Errorf("%q with error %v", got.body, got.err)
 	}
 }
+
+// TestCommentsArePassedOnAtOnce guards against comments that keep a connection alive and are kept back, without bound,
+// until the first event.
+func TestCommentsArePassedOnAtOnce(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, a target.Arrival) bool {
+		target.Raw(unframedHead+": wait\n\n", true)(c, a)
+		time.Sleep(time.Second)
+		return false
+	}, target.Reset())
+	start := time.Now()
+	resp, err := http.DefaultClient.Do(f.request("POST", "/once/x", "prompt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if d := time.Since(start); d > 500*time.Millisecond {
+		t.Errorf("the head arrived after %v", d)
+	}
+	if _, err := io.ReadAll(resp.Body); err == nil {
+		t.Error("a stream without an event ended as if it were complete")
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,7 +80,7 @@
 }
 
 // passOnBlocks sends the complete blocks that have arrived to the caller. It returns an ending if the stream cannot go
-// on. Blocks before the first event are kept back, since another target can take over without a trace until then.
+// on.
 func (s *targetStream) passOnBlocks() Ending {
 	events := 0
 	for {
@@ -102,9 +102,6 @@
 		}
 		s.ready = append(s.ready, b.raw...)
 	}
-	if events == 0 && !s.x.headSent {
-		return ""
-	}
 	return s.sendReady(events, "")
 }
 
