gateway: an unframed answer of a target that has crashed is incomplete

The operating system closes the connections of a process that crashes in order. An answer without a length or chunks that was cut off by that between two events, or in a body, could not be told from a complete one, and the caller got a proper end. The gateway now looks whether the target refuses connections since; one that is leaving may have stopped as planned.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,7 +24,11 @@
 // another attempt is possible if it is incomplete.
 func (x *exchange) passOnWhole(resp *upstream.Response, a Answer) (result, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if ending := bodyEnding(resp.Framing, err); !ending.Complete() {
+	ending := bodyEnding(resp.Framing, err)
+	if len(body) < maxBufferedBytes {
+		ending = x.checked(ending)
+	}
+	if !ending.Complete() {
 		resp.Finish(false)
 		return x.brokenResult(ending), err
 	}
@@ -40,7 +44,7 @@
 	if len(body) == maxBufferedBytes {
 		return x.passOnLarge(resp, body, r)
 	}
-	r.ending = bodyEnding(resp.Framing, nil)
+	r.ending = ending
 	resp.Finish(true)
 	x.copyHead(resp)
 	x.setLength(resp, int64(len(body)))
@@ -50,6 +54,20 @@
 	return r, nil
 }
 
+// checked returns the ending of an answer. One that ended only with its connection is incomplete if the target's process
+// has ended as well, unless it leaves: the operating system closes the connections of a process that crashes in order.
+func (x *exchange) checked(e Ending) Ending {
+	if e != EndConnection || x.targetLeaves() || !x.g.Pool.Refused(x.ctx, x.lease.Target.Addr) {
+		return e
+	}
+	return BrokenCrash
+}
+
+// targetLeaves reports whether the target of the present attempt is leaving, so that its process may end at any time.
+func (x *exchange) targetLeaves() bool {
+	return x.g.Targets.IsLeaving(x.lease.Target.Incarnation())
+}
+
 // setLength sets the length of the caller's answer. An answer without a body keeps the length that its head states.
 func (x *exchange) setLength(resp *upstream.Response, n int64) {
 	switch {
@@ -122,7 +140,7 @@
 		if resp.Framing != upstream.FramingLength && sent == maxUnframedBytes {
 			return BrokenEndless, errEndless
 		}
-		return bodyEnding(resp.Framing, err), err
+		return x.checked(bodyEnding(resp.Framing, err)), err
 	}
 }
 
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -224,3 +224,48 @@
 		t.Error("a stream without an event ended as if it were complete")
 	}
 }
+
+// TestUnframedAnswerOfACrashedTarget guards against an answer without a length or chunks that ends since its target has
+// crashed, and is taken for complete since the operating system closes the connection in order.
+func TestUnframedAnswerOfACrashedTarget(t *testing.T) {
+	whole := strings.Replace(unframedHead, "text/event-stream", "text/plain", 1) + "half"
+	for name, c := range map[string]struct {
+		path, answer string
+		ok           func(a answer) bool
+	}{
+		"stream":                   {"/once/x", unframedHead + "id: 1\ndata: e1\n\n", func(a answer) bool { return a.err != nil }},
+		"resumable stream":         {"/stream/x", unframedHead + "id: 1\ndata: e1\n\n", func(a answer) bool { return a.err == nil && strings.Count(a.body, "data:") == 2 }},
+		"safe request":             {"/safe/x", whole, func(a answer) bool { return a.status == 200 && a.body == "whole" }},
+		"request that is run once": {"/unsafe/x", whole, func(a answer) bool { return a.status == 502 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			second := target.Answer(200, "whole")
+			if c.path == "/stream/x" {
+				second = chunkedEvents("id: 2\ndata: e2\n\n")
+			}
+			f := newFixture(t, target.Reset(), second)
+			f.first.SetBehaviour(func(conn net.Conn, a target.Arrival) bool {
+				target.Raw(c.answer, true)(conn, a)
+				f.first.Close()
+				return false
+			})
+			if a := f.do("POST", c.path, "prompt"); !c.ok(a) {
+				t.Errorf("status %d, %q, error %v", a.status, a.body, a.err)
+			}
+		})
+	}
+}
+
+// TestUnframedAnswerOfALeavingTarget guards against a complete answer that is dropped since its target has stopped as
+// planned.
+func TestUnframedAnswerOfALeavingTarget(t *testing.T) {
+	f := newFixture(t, target.Reset(), target.Reset())
+	f.first.SetBehaviour(func(conn net.Conn, a target.Arrival) bool {
+		target.Raw(strings.Replace(unframedHead, "Content-Type", "Server-Leaving: 1\r\nX-Type", 1)+"last", true)(conn, a)
+		f.first.Close()
+		return false
+	})
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 200 || a.body != "last" {
+		t.Errorf("status %d, %q", a.status, a.body)
+	}
+}
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -16,7 +16,7 @@
 	EndChunks Ending = "last-chunk" // the last chunk has arrived
 	EndNoBody Ending = "no-body"    // its method or status allows no body
 	// EndConnection means that the answer has neither a length nor chunks, and its connection was closed in order. Such an
-	// answer cannot be told from one that broke off there, unless it ends within an event.
+	// answer cannot be told from one that broke off there, unless it ends within an event or its target has ended too.
 	EndConnection Ending = "connection-closed"
 )
 
@@ -28,6 +28,7 @@
 	BrokenTime       Ending = "time"         // the time limit of the request passed
 	BrokenLeft       Ending = "caller-left"  // the caller left before the end
 	BrokenEndless    Ending = "endless"      // it exceeds the bound for answers without a stated length
+	BrokenCrash      Ending = "target-ended" // it ended with its connection, and so did the process of its target
 	BrokenInEvent    Ending = "inside-event" // its stream ended within an event
 	BrokenLongEvent  Ending = "long-event"   // an event exceeds the bound
 	BrokenNoEvent    Ending = "no-event"     // its stream had no event
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -153,7 +153,7 @@
 // an event, so that the caller gets the whole answer.
 func (s *targetStream) end(err error) Ending {
 	rest, inEvent := s.parser.rest()
-	ending := streamEnding(s.resp.Framing, err, s.events, inEvent, s.resumed && !s.x.eventBegun)
+	ending := s.x.checked(streamEnding(s.resp.Framing, err, s.events, inEvent, s.resumed && !s.x.eventBegun))
 	if ending.Complete() {
 		s.ready = append(s.ready, rest...)
 		if len(s.ready) > 0 || !s.x.headSent {
--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -201,6 +201,14 @@
 	return true
 }
 
+// IsLeaving reports whether an incarnation drains or is gone.
+func (s *Set) IsLeaving(i Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, leaving := s.leaves[i]
+	return leaving
+}
+
 // Leaves returns the leaves that are to be sent to peers, which are those learned within leaveShareTime.
 func (s *Set) Leaves(now time.Time) []Leave {
 	s.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -177,6 +177,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, addr)
+}
+
+// dial opens a connection to a target.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
