gateway: accept no success without an id on a connection that was in use

A late copy of an answer that states no id went to the caller of the next idempotent request on its connection. TestLateCopyWithoutID failed before and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -145,7 +145,7 @@
 	a := x.g.HeaderTranslator.Answer(resp.Status, resp.Header)
 	x.noteTarget(a)
 	switch {
-	case x.ofOtherRequest(a, resp.Reused):
+	case x.ofOtherRequest(a, resp):
 		return x.foreign(resp, errOtherRequest)
 	case a.OtherTarget:
 		resp.Discard()
@@ -208,11 +208,11 @@
 	return r, fmt.Errorf("answer with status %d does not continue the stream", resp.Status)
 }
 
-// ofOtherRequest reports whether an answer belongs to another request. An answer without an id may be a late copy if its
-// connection has carried other requests, and a request that must run once cannot rely on it.
-func (x *exchange) ofOtherRequest(a Answer, reused bool) bool {
+// ofOtherRequest reports whether an answer belongs to another request. One without an id may be a late copy if its
+// connection has carried other requests; then it is no success, and a request that must run once cannot rely on it at all.
+func (x *exchange) ofOtherRequest(a Answer, resp *upstream.Response) bool {
 	if a.ID == "" {
-		return reused && !x.route.Idempotent()
+		return resp.Reused && (!x.route.Idempotent() || resp.Status < http.StatusMultipleChoices)
 	}
 	return a.ID != x.call.ID
 }
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -215,3 +215,15 @@
 		})
 	}
 }
+
+// TestLateCopyWithoutID guards against a late copy of an answer without an id that is passed on to the caller of the next
+// request on its connection.
+func TestLateCopyWithoutID(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\n" + target.HeaderStamp + ": s\r\nContent-Length: 5\r\n\r\nfirst"
+	b := func(c net.Conn, a target.Arrival) bool { return target.Raw(first, true)(c, a) }
+	f := newFixture(t, b, target.Answer(200, "second"))
+	f.do("GET", "/safe/x", "")
+	if a := f.do("GET", "/safe/x", ""); a.body != "second" {
+		t.Errorf("status %d, %q", a.status, a.body)
+	}
+}
