platformhttp: accept no configuration whose end is not stated

A configuration without a length or chunks that is cut at the end of a line can be read, and would be in force as the revision that it begins with. TestCutConfigIsNoConfig failed before and passes.

--- a/internal/adapter/platformhttp/platform.go
+++ b/internal/adapter/platformhttp/platform.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -126,6 +127,10 @@
 	notModified bool
 }
 
+// errUnframed is the error of an answer whose end is not stated, so that a part of the value cannot be told from all of
+// it.
+var errUnframed = errors.New("answer without a length or chunks")
+
 // get sends a GET request, conditional on the entity tag if there is one, and reads a body of at most maxBytes bytes.
 func get(ctx context.Context, client *http.Client, url, etag string, maxBytes int64) (response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -147,6 +152,9 @@
 	default:
 		return response{}, fmt.Errorf("GET %s: %s", url, res.Status)
 	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return response{}, fmt.Errorf("GET %s: %w", url, errUnframed)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBytes+1))
 	if err == nil && int64(len(body)) > maxBytes {
 		err = fmt.Errorf("GET %s: value larger than %d bytes", url, maxBytes)
--- a/internal/adapter/platformhttp/platform_test.go
+++ b/internal/adapter/platformhttp/platform_test.go
@@ -1,7 +1,10 @@
 package platformhttp
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -70,3 +73,28 @@
 		}
 	}
 }
+
+// TestCutConfigIsNoConfig guards against a configuration that is cut off at the end of a line, so that it can be read, and
+// is taken for the revision that it begins with.
+func TestCutConfigIsNoConfig(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRevision: 9\r\n\r\nrevision = 9\npreset_in_force = \"day\"\n")
+			_ = c.Close()
+		}
+	}()
+	d, err := (&ConfigSource{URL: "http://" + l.Addr().String(), HTTP: &http.Client{}}).Watch(t.Context(), 8)
+	if err == nil {
+		t.Errorf("revision %d, %q without an error", d.Revision, d.Body)
+	}
+}
