enginehttp: resume a stream that breaks off within an event

The part of a line before the break was read as an event, whose decoding failed, so that the request failed instead of being resumed. The case "cut in an event" of TestGenerate failed before and passes.

--- a/internal/adapter/enginehttp/engine_test.go
+++ b/internal/adapter/enginehttp/engine_test.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// cutAfter breaks the connection within the event after n tokens.
+func cutAfter(n int) func(http.ResponseWriter, *http.Request, int) {
+	return func(w http.ResponseWriter, _ *http.Request, from int) {
+		sendTokens(w, from, from+n)
+		fmt.Fprint(w, "data: {\"text\":")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func stallAfter(n int) func(http.ResponseWriter, *http.Request, int) {
 	return func(w http.ResponseWriter, r *http.Request, from int) {
 		sendTokens(w, from, from+n)
@@ -94,6 +104,7 @@
 	}{
 		"whole":               {streams{sendWhole}, "0 1 2 3 4 ", "[0]", "", false},
 		"broken":              {streams{breakAfter(2), breakAfter(1), sendWhole}, "0 1 2 3 4 ", "[0 2 3]", "", false},
+		"cut in an event":     {streams{cutAfter(2), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
 		"stalled":             {streams{stallAfter(2), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
 		"broken at once":      {streams{breakAfter(0), sendWhole}, "", "[0]", "broken", true},
 		"broken for ever":     {streams{breakAfter(1), breakAfter(0), breakAfter(0), breakAfter(0), sendWhole}, "0 ", "[0 1 1 1]", "broken", true},
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -63,6 +64,7 @@
 	}
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	lines.Split(scanWholeLines)
 	for lines.Scan() {
 		done, err := readEvent(lines.Text(), r.MaxTokens, received, emit)
 		if done || err != nil {
@@ -76,6 +78,15 @@
 	return classifyStreamError(ctx, io.ErrUnexpectedEOF)
 }
 
+// scanWholeLines splits a stream into lines. Unlike bufio.ScanLines it returns no line whose end is missing, which is a
+// part of an event.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if !bytes.ContainsRune(data, '\n') {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // classifyStreamError returns a *brokenError if a resume may succeed after the error. It may not if the ctx of the
 // caller ended, an event is too large or the request was not sent.
 func classifyStreamError(ctx context.Context, err error) error {
