--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,126 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/targetset"
+	"github.com/camphorbank/camphorbank/test/standin/target"
+)
+
+const (
+	promptHeader = "X-Camphorbank-Prompt-Prefix"
+	crashingPart = "bad0"
+	engineCount  = 6
+	restartTime  = 60 * time.Millisecond
+)
+
+// crashingEngines are stand-in engines that crash when they begin an answer to a prompt with crashingPart, and are back as
+// a new incarnation after restartTime.
+type crashingEngines struct {
+	f        *fixture
+	mu       sync.Mutex
+	targets  []targetset.Target
+	revision int64
+	crashes  int
+	reached  int // requests with crashingPart that reached an engine
+}
+
+func newCrashingEngines(t *testing.T) *crashingEngines {
+	e := &crashingEngines{f: newFixture(t, target.Answer(200, ""), target.Answer(200, "")), revision: 1}
+	e.f.gateway.Observe = nil
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range engineCount {
+		e.targets = append(e.targets, targetset.Target{ID: fmt.Sprintf("e-%d", i), Service: "s", Slots: 50, DataCentre: "near"})
+		e.start(i)
+	}
+	return e
+}
+
+// start starts the process of an engine and lists it. The caller holds the lock.
+func (e *crashingEngines) start(i int) {
+	var own *target.Target
+	own, err := target.Start(func(c net.Conn, a target.Arrival) bool {
+		if !strings.Contains(a.Header.Get(promptHeader), crashingPart) {
+			return target.Stream(3, time.Millisecond, false)(c, a)
+		}
+		e.mu.Lock()
+		e.reached++
+		e.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		e.crash(i, own)
+		return false
+	})
+	if err != nil {
+		e.f.t.Error(err)
+		return
+	}
+	e.f.t.Cleanup(own.Close)
+	e.revision++
+	e.targets[i].Addr, e.targets[i].StartedAtMs, e.targets[i].Position = own.Addr, e.revision, targetset.Position{Revision: e.revision}
+	e.f.gateway.Targets.Replace(targetset.Position{Revision: e.revision}, append([]targetset.Target(nil), e.targets...), time.Now())
+}
+
+// crash ends the process of an engine, and starts it again after restartTime.
+func (e *crashingEngines) crash(i int, own *target.Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes++
+	own.Crash()
+	time.AfterFunc(restartTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.start(i)
+	})
+}
+
+func (e *crashingEngines) counts() (crashes, reached int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes, e.reached
+}
+
+// send sends the n-th request, with the shared parts of all and those given before the part of its own.
+func (e *crashingEngines) send(n int, more string) answer {
+	return e.f.do("POST", "/stream/x", "prompt", target.HeaderID, fmt.Sprintf("r-%d", n), promptHeader, fmt.Sprintf("aa01:40,%s%x:600", more, n))
+}
+
+// maxCrashesOfPart is the number of crashes after which requests with a part that crashes engines must stop.
+const maxCrashesOfPart = 5
+
+// TestPartThatCrashesEnginesStops guards against engines that crash one after the other because requests with the same
+// part of a prompt are sent to them again and again, and against refusing sound requests that share their other parts.
+func TestPartThatCrashesEnginesStops(t *testing.T) {
+	e := newCrashingEngines(t)
+	for n := range 60 {
+		if a := e.send(n, ""); a.status != http.StatusOK {
+			t.Fatalf("sound request: %+v", a)
+		}
+	}
+	refused := 0
+	for n := 100; n < 140; n++ {
+		if a := e.send(n, crashingPart+":90,"); a.status == http.StatusServiceUnavailable {
+			refused++
+		}
+		time.Sleep(restartTime)
+		e.send(2*n, "")
+	}
+	time.Sleep(2 * restartTime)
+	if crashes, reached := e.counts(); crashes > maxCrashesOfPart || reached > maxCrashesOfPart {
+		t.Errorf("%d engines crashed under %d requests with the same part, want at most %d", crashes, reached, maxCrashesOfPart)
+	}
+	if refused < 30 {
+		t.Errorf("%d of 40 requests were refused at once, want at least 30", refused)
+	}
+	for n := 1000; n < 1020; n++ {
+		if a := e.send(n, ""); a.status != http.StatusOK || a.err != nil {
+			t.Errorf("sound request with the same first part: %+v", a)
+		}
+	}
+}
--- a/test/standin/target/target.go
+++ b/test/standin/target/target.go
@@ -33,6 +33,7 @@
 	behaviour      Behaviour
 	arrivals       []Arrival
 	connCount      int
+	conns          map[net.Conn]bool
 	closedByCaller int // number of connections that the caller closed
 }
 
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{Addr: l.Addr().String(), listener: l, behaviour: b}
+	t := &Target{Addr: l.Addr().String(), listener: l, behaviour: b, conns: map[net.Conn]bool{}}
 	go t.accept()
 	return t, nil
 }
@@ -50,6 +51,16 @@
 // Close closes the listener. Connections that are open stay open.
 func (t *Target) Close() { _ = t.listener.Close() }
 
+// Crash closes the listener and all connections, as the end of the target's process does.
+func (t *Target) Crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.listener.Close()
+	for c := range t.conns {
+		_ = c.Close()
+	}
+}
+
 // SetBehaviour changes the behaviour for all later requests.
 func (t *Target) SetBehaviour(b Behaviour) {
 	t.mu.Lock()
@@ -80,13 +91,19 @@
 		t.mu.Lock()
 		t.connCount++
 		n := t.connCount
+		t.conns[c] = true
 		t.mu.Unlock()
 		go t.serve(c, n)
 	}
 }
 
 func (t *Target) serve(c net.Conn, n int) {
-	defer c.Close()
+	defer func() {
+		_ = c.Close()
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+	}()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
