quarantine: keep requests with a part that crashes engines from further engines

Callers saw drafts fail for tens of seconds, as engines crashed one after the other and took their groups down. Cause: nothing remembered under which requests an engine had ended, so that requests with the same part of a prompt were sent for as long as they came, and each one to a second engine after the first had crashed.

An entry that loses an answer before its second event now looks whether the target refuses connections, and records the shared parts of the prompt for that crash. Entries exchange this with their heartbeats. A part that explains two crashes and has never been in an answer that began, or three if it has, is quarantined: its requests get 503 at once, with the time at which one of them tests the part again. Parts that many requests have need a proof by answers without them. Decisions wait half a second after a crash, in which suspects are held off.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -47,6 +48,7 @@
 	Pool           Caller
 	Tables         *routetable.Store
 	Targets        *targetset.Set
+	Quarantine     *quarantine.Tracker                           // nil for an entry that exchanges no evidence on prompts
 	InFlight       func() map[string]int                         // this entry's requests in flight, by target id
 	ReportInFlight func(process string, inFlight map[string]int) // receives the requests in flight of another entry
 	ReportGroup    func(GroupState)                              // receives the state of an engine group
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -36,6 +36,9 @@
 		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Position, Members: f.memberHash(),
 		Leaves: f.opt.Targets.Leaves(now), ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
 	}
+	if f.opt.Quarantine != nil {
+		h.Evidence = f.opt.Quarantine.Report()
+	}
 	if h.Summary = f.summary(to, list, own, now); h.Summary == nil {
 		h.InFlight = encodeInFlight(list, own)
 	}
@@ -66,6 +69,9 @@
 		f.applySummary(h.From, h.Summary, now)
 	}
 	f.opt.Targets.Leave(h.Leaves)
+	if f.opt.Quarantine != nil {
+		f.opt.Quarantine.Merge(h.Evidence)
+	}
 	list := f.opt.Targets.Snapshot()
 	f.recordInFlight(list, h)
 	request := StateRequest{Config: f.opt.Tables.Version(), List: list.Position, Members: h.Members != f.memberHash()}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -53,6 +54,8 @@
 	InFlight      []byte `json:"if,omitempty"`
 	ReadsPlatform bool   `json:"rd,omitempty"` // the sender reads the platform itself and reaches it
 	Stopping      bool   `json:"st,omitempty"`
+	// Evidence states which parts of prompts crash engines.
+	Evidence *quarantine.Report `json:"ev,omitempty"`
 	// Summary is sent instead of InFlight to entries of other data centres in a large fleet.
 	Summary *Summary `json:"sm,omitempty"`
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -45,6 +45,7 @@
 		return x.passOnLarge(resp, body, r)
 	}
 	r.ending = ending
+	x.prompt.Begun()
 	resp.Finish(true)
 	x.copyHead(resp)
 	x.setLength(resp, int64(len(body)))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,9 @@
 // attempt sends the request to one target. It reports whether another attempt has to follow; if not, the caller has its
 // final answer or has left.
 func (x *exchange) attempt() bool {
+	if x.quarantined() {
+		return false
+	}
 	list := x.g.Targets.Snapshot()
 	x.record.ListRevision = list.Revision
 	lease, refusal := x.g.Balance.Acquire(x.ctx, x.job())
@@ -36,10 +39,15 @@
 		return false
 	}
 	x.lease = lease
+	if x.quarantined() { // while it waited for the place
+		lease.Done(balance.CallerLeft)
+		return false
+	}
 	t := lease.Target
 	started := time.Now()
 	result, err := x.send(lease)
 	lease.Done(result.leaseResult)
+	result.crashed = x.crashed(result)
 	x.record.Attempts = append(x.record.Attempts, Attempt{Target: t.ID, Group: lease.Group(),
 		Started: started.Sub(x.record.Started), Took: time.Since(started), Result: result.name, Ending: result.ending,
 		Events: result.events, Err: err})
@@ -102,6 +110,7 @@
 	notRun      bool   // the request was not run and will not run
 	ending      Ending // of the target's answer; empty if it was not read to its end
 	events      int    // of the target's stream
+	crashed     bool   // the target has crashed before the answer had begun
 }
 
 var (
@@ -243,6 +252,8 @@
 		return true
 	case x.mayHaveRun && !x.route.Idempotent(), x.headSent && (!x.route.Resumable || x.unnumbered):
 		x.giveUp(ReasonUnknown, 0)
+	case r.crashed && x.prompt.Suspected():
+		x.giveUp(ReasonSuspected, x.refusedRetryAfter())
 	case x.sends >= x.route.MaxAttempts:
 		x.giveUp(ReasonAttempts, x.refusedRetryAfter())
 	case !x.g.Retries.Take(x.service):
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -47,6 +47,15 @@
 	return false
 }
 
+// connectionLost reports whether the connection to the target ended, as it does if the target's process ends.
+func (e Ending) connectionLost() bool {
+	switch e {
+	case BrokenNoHead, BrokenShort, BrokenConnection, BrokenCrash, BrokenInEvent, BrokenNoEvent:
+		return true
+	}
+	return false
+}
+
 // bodyEnding returns the ending of an answer whose body was read until err.
 func bodyEnding(f upstream.Framing, err error) Ending {
 	switch {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/balance"
 	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -70,8 +71,9 @@
 	tables.Offer(testConfig())
 	f.gateway = &gateway.Gateway{
 		HeaderTranslator: platform.HeaderTranslator{}, Tables: tables, Targets: set, Balance: balance.New("near", time.Now), Pool: upstream.NewPool(),
-		Retries: retry.NewFleetBudget(retry.Allowance{Share: 0.2, Slack: 50, Window: 10 * time.Second}, true, time.Now),
-		Observe: func(r *gateway.Record) { f.records <- *r },
+		Quarantine: quarantine.New(time.Now),
+		Retries:    retry.NewFleetBudget(retry.Allowance{Share: 0.2, Slack: 50, Window: 10 * time.Second}, true, time.Now),
+		Observe:    func(r *gateway.Record) { f.records <- *r },
 	}
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(f.server.Close)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,13 +10,15 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-// Gateway is the HTTP handler for the requests of callers. All fields but Observe and Closing are required.
+// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Observe and Closing are
+// required.
 type Gateway struct {
 	HeaderTranslator HeaderTranslator
 	Tables           *routetable.Store
@@ -24,7 +26,8 @@
 	Balance          *balance.Balancer
 	Retries          *retry.FleetBudget
 	Pool             *upstream.Pool
-	Observe          func(*Record) // receives the record of each request when it has ended; must not block
+	Quarantine       *quarantine.Tracker // nil for a gateway that tracks no parts of prompts
+	Observe          func(*Record)       // receives the record of each request when it has ended; must not block
 	// Closing reports whether connections are to be closed after their present answer.
 	Closing func() bool
 }
@@ -73,14 +76,15 @@
 
 	lease         *balance.Lease // place of the present attempt
 	failedTargets map[targetset.Incarnation]bool
-	sends         int    // number of attempts in which bytes of the request were sent
-	headSent      bool   // the head of the answer was sent to the caller
-	contentType   string // of that head
-	lastEventID   string // id of the last event that the caller has
-	unnumbered    bool   // the last event that was sent has no id, so that the stream cannot be resumed after it
-	eventBegun    bool   // an event after lastEventID has begun, so that the stream does not end there
-	mayHaveRun    bool   // a target may have run the request
-	truncated     bool   // the answer has begun and cannot be completed, so the caller's connection is aborted
+	prompt        *quarantine.Prompt // nil if the request states no shared parts of its prompt
+	sends         int                // number of attempts in which bytes of the request were sent
+	headSent      bool               // the head of the answer was sent to the caller
+	contentType   string             // of that head
+	lastEventID   string             // id of the last event that the caller has
+	unnumbered    bool               // the last event that was sent has no id, so that the stream cannot be resumed after it
+	eventBegun    bool               // an event after lastEventID has begun, so that the stream does not end there
+	mayHaveRun    bool               // a target may have run the request
+	truncated     bool               // the answer has begun and cannot be completed, so the caller's connection is aborted
 }
 
 // admit checks the request, finds its route and client account, and reads its body. It answers the request and returns
@@ -185,6 +189,8 @@
 	if x.route.Resumable {
 		x.lastEventID = x.call.ResumeAfter
 	}
+	x.prompt = x.g.Quarantine.Prompt(x.call.PromptParts)
+	defer x.prompt.Done()
 	x.g.Retries.CountRequest(x.service)
 	for x.attempt() {
 	}
--- a/internal/gateway/headertranslator.go
+++ b/internal/gateway/headertranslator.go
@@ -9,6 +9,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 )
 
 // Call holds the information in the headers of a caller's request.
@@ -17,7 +19,9 @@
 	Key          string        // of the client account; empty without one
 	Wait         time.Duration // time for which the caller waits for the answer; 0 if unstated
 	PromptTokens int           // 0 if unstated
-	ResumeAfter  string        // id of the last event that the caller has; empty if it wants the whole stream
+	// PromptParts are the parts of the prompt that other requests may share.
+	PromptParts []quarantine.Part
+	ResumeAfter string // id of the last event that the caller has; empty if it wants the whole stream
 }
 
 // Forward holds the information that the system adds to the headers of a request to a target.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/quarantine"
+)
 
 // Outcome is how a request ended for its caller.
 type Outcome string
@@ -32,6 +36,9 @@
 	ReasonAttempts   Reason = "attempts-used-up"
 	ReasonBudget     Reason = "retry-budget-used-up"
 	ReasonUnknown    Reason = "outcome-unknown"
+	// ReasonQuarantined means that engines crash under a part of the prompt, and ReasonSuspected that they may.
+	ReasonQuarantined Reason = "prompt-quarantined"
+	ReasonSuspected   Reason = "prompt-suspected"
 )
 
 // Attempt describes one attempt at a target.
@@ -62,6 +69,8 @@
 	Outcome       Outcome
 	Reason        Reason
 	RetryAfter    time.Duration
+	Part          quarantine.Part   // quarantined part of the prompt; empty if there is none
+	Parts         []quarantine.Part // shared parts of the prompt, if a target crashed before its answer had begun
 	Attempts      []Attempt
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,7 @@
 		x.eventBegun = x.eventBegun || inEvent
 	}
 	if ending.Complete() {
+		x.prompt.Begun()
 		r.ending = ending
 		x.record.setOutcome(OutcomeServed, "")
 	} else {
@@ -97,6 +98,9 @@
 			}
 			s.events++
 			events++
+			if s.events == begunEvents {
+				s.x.prompt.Begun()
+			}
 			s.numbered = s.numbered || b.id != ""
 			s.x.noteEvent(b.id)
 		}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -16,6 +16,7 @@
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -44,6 +45,7 @@
 	tables        *routetable.Store
 	targets       *targetset.Set
 	balance       *balance.Balancer
+	quarantine    *quarantine.Tracker
 	retries       *retry.FleetBudget
 	pool          *upstream.Pool
 	peers         *peer.Pool
@@ -63,11 +65,13 @@
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
 	e.balance.Notify, e.balance.Connected = logBalance, e.pool.Idle
+	e.quarantine = quarantine.New(time.Now)
+	e.quarantine.Notify = logQuarantine
 	e.retries = retry.NewFleetBudget(retryAllowance(s.Bounds), s.FirstStart, time.Now)
 	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logPlatform}
 	e.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano(), DataCentre: s.DataCentre},
-		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets,
+		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets, Quarantine: e.quarantine,
 		InFlight: e.balance.InFlight, ReportInFlight: e.balance.SetPeerInFlight, ReportGroup: e.reportGroup,
 		ReadsPlatform: e.watcher.ReadsPlatform, Stopping: e.stopping.Load, Notify: logFleet,
 	})
@@ -134,7 +138,7 @@
 func (e *entry) newCallerServer() *http.Server {
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-		Pool: e.pool, Observe: e.observe, Closing: e.stopping.Load,
+		Pool: e.pool, Quarantine: e.quarantine, Observe: e.observe, Closing: e.stopping.Load,
 	})
 	server.ErrorLog = serverLog
 	return server
@@ -201,6 +205,7 @@
 	}
 	e.pool.Sweep(now, func(addr string) bool { return addrs[addr] })
 	e.balance.Sweep(list.ByID)
+	e.quarantine.Sweep()
 	_, known := e.fleet.EntryCounts()
 	e.retries.SetProcesses(known)
 	if now.Sub(e.gaugesUpdated) >= gaugeInterval {
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -13,6 +13,7 @@
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
 	"github.com/camphorbank/camphorbank/internal/metrics"
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 )
 
@@ -38,6 +39,12 @@
 	if r.LongestGap > 0 {
 		f["gap"] = r.LongestGap
 	}
+	if r.Part != "" {
+		f["part"] = r.Part
+	}
+	if len(r.Parts) > 0 {
+		f["parts"] = joinParts(r.Parts)
+	}
 	if len(r.Attempts) > 0 {
 		f["tries"] = formatAttempts(r.Attempts)
 	}
@@ -123,6 +130,34 @@
 	log.WithFields(f).Info("balance")
 }
 
+// logQuarantine logs and counts what the process has learned about parts of prompts that crash engines.
+func logQuarantine(e quarantine.Event) {
+	metrics.QuarantineEvents.Add(string(e.Kind), 1)
+	f := log.Fields{"event": e.Kind}
+	if e.Engine != "" {
+		f["target"], f["parts"] = e.Engine, joinParts(e.Parts)
+	}
+	if e.Part != "" {
+		f["part"] = e.Part
+	}
+	if e.For > 0 {
+		f["crashes"], f["for"] = e.Crashes, e.For
+	}
+	log.WithFields(f).Info("quarantine")
+}
+
+// joinParts returns parts of a prompt as comma-separated text.
+func joinParts(parts []quarantine.Part) string {
+	var b strings.Builder
+	for i, p := range parts {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(string(p))
+	}
+	return b.String()
+}
+
 // logReadiness logs a change of the process's readiness, with the configuration version and target list revision in
 // use.
 func logReadiness(ready bool, config, revision int64, stopping bool) {
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,298 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
+
+const (
+	// crashesOfNewPart is the number of crashes that one part has to explain if no answer with it has ever begun, and
+	// crashesOfUsedPart if one has. A single crash has many possible causes.
+	crashesOfNewPart  = 2
+	crashesOfUsedPart = 3
+	// sameCauseTime is the time within which crashes count as one, since engines that lose power together crash together.
+	sameCauseTime = 100 * time.Millisecond
+	// commonShare is the share of the requests above which a part is common, and fewRequests the number up to which it is
+	// not. A common part is in the requests of every crash, whatever the cause.
+	commonShare = 0.125
+	fewRequests = 3
+	// baselineAnswers is the number of answers that must have begun without a part before it is remarkable that none has
+	// begun with it.
+	baselineAnswers = 20
+	// settleTime is the time after a crash in which the requests that the engine held become known, also those of other
+	// entries. Before, a part that was there by chance cannot be told from the cause.
+	settleTime = 500 * time.Millisecond
+	// crashMemory is the time for which a crash counts.
+	crashMemory = 30 * time.Minute
+	maxCrashes  = 64
+	// maxPartsPerCrash bounds the parts that are stored for a crash.
+	maxPartsPerCrash = 64
+	// maxHistories bounds the parts that are remembered.
+	maxHistories = 4096
+	// requestHalfLife is the time after which a request counts half for the share of the requests that have a part.
+	requestHalfLife = time.Minute
+)
+
+// history is what is known about the requests with one part.
+type history struct {
+	requests  float64 // number of requests, older ones counted less
+	lastSeen  time.Time
+	lastBegun time.Time // time at which an answer began last; zero if none has
+	common    bool      // many requests had the part before the first crash under it since then
+}
+
+// crash is one crash of an engine.
+type crash struct {
+	at          time.Time
+	known       time.Time // time at which this process learned of it
+	learned     time.Time // time at which its latest part became known to this process
+	settled     bool      // settleTime has passed since it became known
+	parts       map[Part]bool
+	begunBefore int // Tracker.begun at the crash
+}
+
+func (t *Tracker) historyOf(part Part) *history {
+	h := t.histories[part]
+	if h == nil {
+		if len(t.histories) >= maxHistories {
+			t.forgetOldest()
+		}
+		h = &history{lastSeen: t.now()}
+		t.histories[part] = h
+	}
+	return h
+}
+
+// forgetOldest removes the quarter of the histories that were used least recently.
+func (t *Tracker) forgetOldest() {
+	seen := make([]time.Time, 0, len(t.histories))
+	for _, h := range t.histories {
+		seen = append(seen, h.lastSeen)
+	}
+	slices.SortFunc(seen, time.Time.Compare)
+	limit := seen[len(seen)/4]
+	for part, h := range t.histories {
+		if !h.lastSeen.After(limit) {
+			delete(t.histories, part)
+		}
+	}
+}
+
+// countRequest counts a request with the parts.
+func (t *Tracker) countRequest(parts []Part) {
+	t.requests++
+	for _, part := range parts {
+		h := t.historyOf(part)
+		h.requests++
+		h.lastSeen = t.now()
+	}
+}
+
+// forgetRequests halves the numbers of requests after each requestHalfLife.
+func (t *Tracker) forgetRequests(now time.Time) {
+	if now.Sub(t.halved) < requestHalfLife {
+		return
+	}
+	t.halved = now
+	t.requests /= 2
+	for _, h := range t.histories {
+		h.requests /= 2
+	}
+}
+
+// addCrash adds parts to the crash of an engine.
+func (t *Tracker) addCrash(engine targetset.Incarnation, parts []Part, at time.Time) {
+	c := t.crashes[engine]
+	if c == nil {
+		if len(t.crashes) >= maxCrashes {
+			t.forgetCrash()
+		}
+		c = &crash{at: at, known: t.now(), parts: map[Part]bool{}, begunBefore: t.begun}
+		t.crashes[engine] = c
+		t.unsettled++
+		t.notify(Event{Kind: EventCrash, Engine: engine.ID, Parts: parts})
+	}
+	for _, part := range parts {
+		if !c.parts[part] && len(c.parts) < maxPartsPerCrash {
+			t.noteCommon(part)
+			c.parts[part] = true
+			c.learned = t.now()
+		}
+	}
+}
+
+// noteCommon records whether a part is common before the first crash under it since an answer with it has begun. Later, a
+// part that crashes engines may be in many requests.
+func (t *Tracker) noteCommon(part Part) {
+	h := t.historyOf(part)
+	for _, c := range t.crashes {
+		if c.parts[part] && c.at.After(h.lastBegun) {
+			return
+		}
+	}
+	h.common = t.isCommon(h)
+}
+
+// isCommon reports whether many of the requests so far had the part.
+func (t *Tracker) isCommon(h *history) bool {
+	return h.requests > max(fewRequests, commonShare*t.requests)
+}
+
+// forgetCrash removes the oldest crash.
+func (t *Tracker) forgetCrash() {
+	var oldest targetset.Incarnation
+	for engine, c := range t.crashes {
+		if old := t.crashes[oldest]; old == nil || c.at.Before(old.at) {
+			oldest = engine
+		}
+	}
+	t.removeCrash(oldest)
+}
+
+func (t *Tracker) removeCrash(engine targetset.Incarnation) {
+	if !t.crashes[engine].settled {
+		t.unsettled--
+	}
+	delete(t.crashes, engine)
+}
+
+// settle decides on the crashes that have become old enough for it.
+func (t *Tracker) settle(now time.Time) {
+	if t.unsettled == 0 {
+		return
+	}
+	changed := false
+	for _, c := range t.crashes {
+		if !c.settled && now.Sub(c.known) >= settleTime {
+			c.settled = true
+			t.unsettled--
+			changed = true
+		}
+	}
+	if changed {
+		t.decide()
+	}
+}
+
+// explained reports whether a quarantined part explains the crash.
+func (t *Tracker) explained(c *crash) bool {
+	for part := range c.parts {
+		if t.quarantines[part] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// explainedBetter reports whether another quarantined part is in all crashes under a part, and in more.
+func (t *Tracker) explainedBetter(part Part) bool {
+	for other := range t.quarantines {
+		own, with, without := 0, 0, 0
+		for _, c := range t.crashes {
+			if c.parts[part] {
+				own++
+			}
+			if c.parts[part] && !c.parts[other] {
+				without++
+			}
+			if c.parts[other] && !c.parts[part] {
+				with++
+			}
+		}
+		if own > 0 && without == 0 && with > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// crashesWith returns the number of crashes under a part.
+func (t *Tracker) crashesWith(part Part) int {
+	n := 0
+	for _, c := range t.crashes {
+		if c.parts[part] {
+			n++
+		}
+	}
+	return n
+}
+
+// suspect is a part that may explain crashes.
+type suspect struct {
+	at          []time.Time // of the crashes that nothing else explains, since an answer with the part began last
+	begunBefore int         // Tracker.begun at the first of them
+}
+
+// crashes returns the number of crashes that do not have a common cause, as far as their times show.
+func (s *suspect) crashes() int {
+	slices.SortFunc(s.at, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, at := range s.at {
+		if n == 0 || at.Sub(last) > sameCauseTime {
+			n++
+			last = at
+		}
+	}
+	return n
+}
+
+// unexplained returns the parts of the crashes that no quarantined part explains, except those with which an answer has
+// begun after the crash. Crashes that are not settled count only if recent is set.
+func (t *Tracker) unexplained(recent bool) map[Part]*suspect {
+	found := map[Part]*suspect{}
+	for _, c := range t.crashes {
+		if !c.settled && !recent || t.explained(c) {
+			continue
+		}
+		for part := range c.parts {
+			if t.historyOf(part).lastBegun.After(c.at) {
+				continue
+			}
+			s := found[part]
+			if s == nil {
+				s = &suspect{begunBefore: c.begunBefore}
+				found[part] = s
+			}
+			s.begunBefore = min(s.begunBefore, c.begunBefore)
+			s.at = append(s.at, c.at)
+		}
+	}
+	return found
+}
+
+// suspects returns the parts that explain the most crashes, several of them at least, and whether that is enough for a
+// quarantine. Of parts that explain as many crashes, those with which no answer has begun for the longest time are
+// returned. Crashes that are not settled count only if recent is set.
+func (t *Tracker) suspects(recent bool) (best map[Part]bool, sure bool) {
+	most := 0
+	var oldest time.Time
+	for part, s := range t.unexplained(recent) {
+		n, begun := s.crashes(), t.historyOf(part).lastBegun
+		if n < crashesOfNewPart || n < most || !t.plausible(part, s) {
+			continue
+		}
+		switch {
+		case n > most || begun.Before(oldest):
+			best, most, oldest = map[Part]bool{part: true}, n, begun
+		case begun.Equal(oldest):
+			best[part] = true
+		}
+	}
+	isNew := oldest.IsZero() && t.begun >= baselineAnswers
+	return best, most >= crashesOfUsedPart || isNew && len(best) == 1
+}
+
+// plausible reports whether a part may be the cause of crashes. One that is common is in the requests of every crash,
+// and one with which answers have begun has not crashed engines before. Answers that begin without it while none does
+// with it must show that it does now.
+func (t *Tracker) plausible(part Part, s *suspect) bool {
+	h := t.historyOf(part)
+	common := h.common || t.begun < baselineAnswers && t.isCommon(h)
+	if h.lastBegun.IsZero() && !common {
+		return true
+	}
+	return t.begun-s.begunBefore >= baselineAnswers
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,270 @@
+// Package quarantine finds the parts of prompts that crash engines, and keeps requests that contain them from further
+// engines.
+//
+// Prompts consist of parts that many requests share, and an engine may crash whenever it begins an answer to a prompt
+// with a certain part. A Tracker records which parts the requests had that an engine held when it crashed before their
+// answers had begun, and which parts have been in requests whose answers did begin. Entries exchange this evidence. A
+// part that explains several crashes and has not been in an answer since is quarantined: requests with it are refused
+// for some time, after which a single one tests whether engines still crash. Until all is known about a crash, requests
+// with a part that may explain it and others are held off.
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
+
+// Part is the id of a part of a prompt that several requests may share.
+type Part string
+
+const (
+	// firstQuarantine is the first time for which a part is quarantined. It doubles each time that an engine crashes
+	// under the part again, up to maxQuarantine.
+	firstQuarantine = time.Minute
+	maxQuarantine   = time.Hour
+	// testSpread is the share of a quarantine over which entries spread their first request after it, so that one of them
+	// learns the result before the others send theirs.
+	testSpread = 0.5
+)
+
+// Tracker collects evidence on parts of prompts and quarantines those that crash engines. It is safe for concurrent use.
+type Tracker struct {
+	// Notify receives an event for each crash of an engine and each change of a quarantine. It must neither block nor
+	// call the tracker. It may be nil, and must not be changed once the tracker is in use.
+	Notify func(Event)
+
+	mu          sync.Mutex
+	now         func() time.Time
+	histories   map[Part]*history
+	requests    float64 // number of requests with a prompt, older ones counted less
+	begun       int     // number of requests whose answers have begun
+	halved      time.Time
+	crashes     map[targetset.Incarnation]*crash
+	unsettled   int // number of crashes that are not settled
+	quarantines map[Part]*quarantine
+}
+
+// quarantine is the state of a part that is or was quarantined.
+type quarantine struct {
+	since, until time.Time
+	duration     time.Duration
+	// testAfter is the time from which this process sends a single request with the part to test it.
+	testAfter time.Time
+	testing   *Prompt // that request, while it runs
+}
+
+// New returns a tracker. now is its clock.
+func New(now func() time.Time) *Tracker {
+	return &Tracker{now: now, histories: map[Part]*history{}, halved: now(), crashes: map[targetset.Incarnation]*crash{},
+		quarantines: map[Part]*quarantine{}}
+}
+
+// Prompt tracks the shared parts of the prompt of one request. A nil Prompt has no parts.
+type Prompt struct {
+	tracker *Tracker
+	parts   []Part
+	begun   bool
+	tests   []Part // quarantined parts that the request tests
+}
+
+// Prompt returns the prompt of a request with the shared parts, or nil if there are none. Done must be called when the
+// request has ended. A nil tracker tracks nothing.
+func (t *Tracker) Prompt(parts []Part) *Prompt {
+	if t == nil || len(parts) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.countRequest(parts)
+	return &Prompt{tracker: t, parts: parts}
+}
+
+// Blocked returns the part that keeps the request from engines, since it is quarantined or held off, and the time until
+// that may change. It returns an empty part if the request may be sent.
+func (p *Prompt) Blocked() (Part, time.Duration) {
+	if p == nil {
+		return "", 0
+	}
+	t := p.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.settle(now)
+	if part := p.heldOff(); part != "" {
+		return part, settleTime
+	}
+	for _, part := range p.parts {
+		q := t.quarantines[part]
+		if q == nil || q.testing == p {
+			continue
+		}
+		if now.Before(q.testAfter) {
+			return part, q.testAfter.Sub(now)
+		}
+		if q.testing != nil {
+			return part, q.duration
+		}
+	}
+	p.startTests()
+	return "", 0
+}
+
+// heldOff returns a part of the request that explains several crashes, the last of which is not settled, or an empty part.
+// The caller holds the tracker's lock.
+func (p *Prompt) heldOff() Part {
+	if p.tracker.unsettled == 0 {
+		return ""
+	}
+	suspects, _ := p.tracker.suspects(true)
+	for _, part := range p.parts {
+		if suspects[part] {
+			return part
+		}
+	}
+	return ""
+}
+
+// startTests makes the request the test of its parts whose quarantines have ended. The caller holds the lock.
+func (p *Prompt) startTests() {
+	for _, part := range p.parts {
+		if q := p.tracker.quarantines[part]; q != nil && q.testing == nil {
+			q.testing = p
+			p.tests = append(p.tests, part)
+		}
+	}
+}
+
+// Begun records that the answer to the request has begun, so that none of its parts crashes an engine.
+func (p *Prompt) Begun() {
+	if p == nil || p.begun {
+		return
+	}
+	p.begun = true
+	t := p.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.begun++
+	now := t.now()
+	for _, part := range p.parts {
+		t.partBegun(part, now)
+	}
+}
+
+// partBegun records that an answer with the part began at a time, and ends a quarantine that was imposed before. The
+// caller holds the lock.
+func (t *Tracker) partBegun(part Part, at time.Time) {
+	h := t.historyOf(part)
+	if at.After(h.lastBegun) {
+		h.lastBegun = at
+	}
+	if q := t.quarantines[part]; q != nil && at.After(q.since) {
+		delete(t.quarantines, part)
+		t.notify(Event{Kind: EventReleased, Part: part})
+	}
+}
+
+// Crashed records that an engine crashed while it held the request, whose answer had not begun.
+func (p *Prompt) Crashed(engine targetset.Incarnation) {
+	if p == nil {
+		return
+	}
+	t := p.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addCrash(engine, p.parts, t.now())
+	for _, part := range p.tests {
+		if q := t.quarantines[part]; q != nil && q.testing == p {
+			t.impose(part, min(maxQuarantine, 2*q.duration))
+		}
+	}
+}
+
+// Suspected reports whether a part of the request explains several crashes, though not surely enough for a quarantine.
+// Such a request should not be sent again by itself.
+func (p *Prompt) Suspected() bool {
+	if p == nil {
+		return false
+	}
+	t := p.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspects, _ := t.suspects(true)
+	return slices.ContainsFunc(p.parts, func(part Part) bool { return suspects[part] || t.quarantines[part] != nil })
+}
+
+// Done ends the tracking of the request.
+func (p *Prompt) Done() {
+	if p == nil || len(p.tests) == 0 {
+		return
+	}
+	t := p.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range p.tests {
+		if q := t.quarantines[part]; q != nil && q.testing == p {
+			q.testing = nil
+		}
+	}
+}
+
+// decide quarantines the parts that explain the settled crashes, and releases those that others explain better. The
+// caller holds the lock.
+func (t *Tracker) decide() {
+	for {
+		suspects, sure := t.suspects(false)
+		if !sure {
+			break
+		}
+		for part := range suspects {
+			t.impose(part, firstQuarantine)
+		}
+	}
+	for part := range t.quarantines {
+		if t.explainedBetter(part) {
+			delete(t.quarantines, part)
+			t.notify(Event{Kind: EventReleased, Part: part})
+		}
+	}
+}
+
+// impose quarantines a part. The caller holds the lock.
+func (t *Tracker) impose(part Part, d time.Duration) {
+	now := t.now()
+	t.quarantines[part] = newQuarantine(now, now.Add(d), d)
+	t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: d})
+}
+
+func newQuarantine(since, until time.Time, d time.Duration) *quarantine {
+	spread := time.Duration(testSpread * rand.Float64() * float64(d))
+	return &quarantine{since: since, until: until, duration: d, testAfter: until.Add(spread)}
+}
+
+// Sweep forgets what is too old to matter.
+func (t *Tracker) Sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.settle(now)
+	for engine, c := range t.crashes {
+		if now.Sub(c.at) > crashMemory {
+			t.removeCrash(engine)
+		}
+	}
+	for part, q := range t.quarantines {
+		if now.Sub(q.until) > maxQuarantine {
+			delete(t.quarantines, part) // no request has had it for long
+		}
+	}
+	t.forgetRequests(now)
+}
+
+// Quarantined returns the number of quarantined parts.
+func (t *Tracker) Quarantined() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.quarantines)
+}
--- /dev/null
+++ b/internal/quarantine/report.go
@@ -0,0 +1,105 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
+
+// crashShareTime is the time for which a crash is sent to peers after this process has learned something about it.
+const crashShareTime = 3 * time.Second
+
+// Report is the evidence that entries send each other. Clocks differ between processes, so that it states ages.
+type Report struct {
+	Crashes     []CrashReport      `json:"c,omitempty"`
+	Begun       []BegunReport      `json:"b,omitempty"`
+	Quarantines []QuarantineReport `json:"q,omitempty"`
+}
+
+// CrashReport is one crash of an engine.
+type CrashReport struct {
+	Engine targetset.Incarnation `json:"e"`
+	AgeMs  int64                 `json:"a"`
+	Parts  []Part                `json:"p"`
+}
+
+// BegunReport states how long ago an answer with a part of a reported crash began last.
+type BegunReport struct {
+	Part  Part  `json:"p"`
+	AgeMs int64 `json:"a"`
+}
+
+// QuarantineReport is one quarantined part.
+type QuarantineReport struct {
+	Part       Part  `json:"p"`
+	AgeMs      int64 `json:"a"`
+	LeftMs     int64 `json:"l"` // negative if the part is being tested
+	DurationMs int64 `json:"d"`
+}
+
+// Report returns the evidence that peers need, or nil if there is none.
+func (t *Tracker) Report() *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.crashes) == 0 && len(t.quarantines) == 0 {
+		return nil
+	}
+	r, now := &Report{}, t.now()
+	begun := map[Part]bool{}
+	for engine, c := range t.crashes {
+		if now.Sub(c.learned) >= crashShareTime {
+			continue
+		}
+		out := CrashReport{Engine: engine, AgeMs: now.Sub(c.at).Milliseconds()}
+		for part := range c.parts {
+			out.Parts = append(out.Parts, part)
+			begun[part] = true
+		}
+		r.Crashes = append(r.Crashes, out)
+	}
+	for part := range begun {
+		if at := t.historyOf(part).lastBegun; !at.IsZero() {
+			r.Begun = append(r.Begun, BegunReport{Part: part, AgeMs: now.Sub(at).Milliseconds()})
+		}
+	}
+	for part, q := range t.quarantines {
+		r.Quarantines = append(r.Quarantines, QuarantineReport{Part: part, AgeMs: now.Sub(q.since).Milliseconds(),
+			LeftMs: q.until.Sub(now).Milliseconds(), DurationMs: q.duration.Milliseconds()})
+	}
+	return r
+}
+
+// Merge adds the evidence of a peer.
+func (t *Tracker) Merge(r *Report) {
+	if r == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	for _, b := range r.Begun {
+		t.partBegun(b.Part, ago(b.AgeMs))
+	}
+	for _, c := range r.Crashes {
+		t.addCrash(c.Engine, c.Parts, ago(c.AgeMs))
+	}
+	for _, q := range r.Quarantines {
+		t.adopt(q.Part, newQuarantine(ago(q.AgeMs), ago(-q.LeftMs), time.Duration(q.DurationMs)*time.Millisecond))
+	}
+	t.settle(now)
+}
+
+// adopt puts the quarantine of a peer in force unless it is known or an answer has begun since. The caller holds the
+// lock.
+func (t *Tracker) adopt(part Part, q *quarantine) {
+	if t.historyOf(part).lastBegun.After(q.since) {
+		return
+	}
+	known := t.quarantines[part]
+	if known != nil && known.duration >= q.duration {
+		return
+	}
+	t.quarantines[part] = q
+	t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: q.duration})
+}
