gateway: take no half of a line ending for the start of an event

Cause: eventParser.rest examined the last line with the CR that may be half of CRLF, so that a blank line or a comment that ends the stream with CR counted as a part of an event. A complete stream that ends like this was treated as broken. The line is examined without the CR now. FuzzEventParser failed for 4 of its seeds before (two streams, two ways of reading each) and passes for all; TestHalfOfALineEndingIsNoEnd passes as before.

--- a/internal/gateway/eventparser.go
+++ b/internal/gateway/eventparser.go
@@ -110,7 +110,7 @@
 
 // rest returns the bytes after the last complete block, and whether they belong to an event.
 func (p *eventParser) rest() (raw []byte, inEvent bool) {
-	line := p.buf[p.lineStart:]
+	line := bytes.TrimSuffix(p.buf[p.lineStart:], []byte("\r")) // which may be half of CRLF
 	comment := len(line) == 0 || line[0] == ':'
 	return p.buf[p.start:], p.current.isEvent || !comment
 }
