upstream: return the data of chunks that have arrived without waiting

Cause: the decoder of net/http waits for the rest of a chunk that has begun to arrive, although it has decoded whole chunks before it in the same Read. Events were held back until the target sent more, up to the time limit of the request.

Change: a body in chunks is decoded by chunkReader, whose Read returns what it has before it waits.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -127,12 +127,21 @@
 			return nil, err
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body,
-				Framing: framingOf(resp, method), Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
+			framing := framingOf(resp, method)
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: bodyOf(resp, framing, c),
+				Framing: framing, Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
 		}
 	}
 }
 
+// bodyOf returns the body of an answer whose head was read from the connection.
+func bodyOf(r *http.Response, f Framing, c *conn) io.Reader {
+	if f == FramingChunked {
+		return &chunkReader{from: c.reader}
+	}
+	return r.Body
+}
+
 // framingOf returns the framing of the answer to a request with the method.
 func framingOf(r *http.Response, method string) Framing {
 	switch {
