--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 
+	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -86,19 +87,25 @@
 	}
 }
 
-// streamEnding returns the ending of a stream that was read until err and had the number of events. inEvent states that
-// bytes of another event followed the last one, and mayBeEmpty that the stream was to continue after an event that the
-// caller has and that may be the last one.
-func streamEnding(f upstream.Framing, err error, events int, inEvent, mayBeEmpty bool) Ending {
-	e := bodyEnding(f, err)
+// ending returns the ending of a stream that was read until err.
+func (s *targetStream) ending(err error, inEvent bool) Ending {
+	e := bodyEnding(s.resp.Framing, err)
 	switch {
 	case !e.Complete():
 		return e
 	case inEvent:
 		return BrokenInEvent
-	case events == 0 && (!mayBeEmpty || e == EndConnection):
-		// An empty continuation says that nothing is left only if its framing shows that it is whole.
+	case s.events == 0 && !s.mayBeEmpty(e):
 		return BrokenNoEvent
 	}
 	return e
 }
+
+// mayBeEmpty reports whether the stream is complete without an event. An empty continuation says that nothing is left only
+// if its framing shows that it is whole, and if no further event has begun before.
+func (s *targetStream) mayBeEmpty(e Ending) bool {
+	if s.x.route.Kind != routetable.KindStream {
+		return true
+	}
+	return s.resumed && !s.x.eventBegun && e != EndConnection
+}
--- a/internal/gateway/eventparser.go
+++ b/internal/gateway/eventparser.go
@@ -120,7 +120,7 @@
 
 // rest returns the bytes after the last complete block, and whether they may belong to an event.
 func (p *eventParser) rest() (raw []byte, inEvent bool) {
-	line := bytes.TrimSuffix(p.buf[p.lineStart:], []byte("\r"))
+	line := bytes.TrimSuffix(p.buf[p.lineStart:], []byte("\r")) // which may be half of CRLF
 	comment := len(line) == 0 || line[0] == ':'
 	return p.buf[p.start:], p.inBlock || !comment
 }
