soak: give each target a loopback IP address of its own

The port of a target that has ended was free for the next one. Targets on the platform refuse such requests by the id of the target.

--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -52,8 +52,11 @@
 }
 
 // New returns a link to the target on a free loopback address. It passes everything on unchanged.
-func New(target string) (*Link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Link, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt returns a link to the target that listens on addr, such as the address of a link that has been closed.
+func NewAt(addr, target string) (*Link, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,16 @@
 	once        sync.Once
 }
 
+var targetAddresses atomic.Uint32
+
+// newTargetAddress returns an address with a free port on a loopback IP address of its own. The port of a target that has
+// ended is thus not given to another target, which would get the requests of entries that do not know of the end yet.
+func newTargetAddress() string {
+	const perByte = 250
+	n := targetAddresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%perByte, n/perByte, 1+n%perByte)
+}
+
 // addTarget starts a target and adds it to the platform's list.
 func (w *system) addTarget(service string, rank *expertgroup.Rank) *proxiedTarget {
 	w.mu.Lock()
@@ -71,7 +82,7 @@
 	if r.target, err = target.Start(r.answer); err != nil {
 		w.t.Fatal(err)
 	}
-	if r.link, err = faultproxy.New(r.target.Addr); err != nil {
+	if r.link, err = faultproxy.NewAt(newTargetAddress(), r.target.Addr); err != nil {
 		w.t.Fatal(err)
 	}
 	r.publishState("ready")
