soak: answers that end with their connection, wrong continuations

Targets now send sound answers without a length or chunks, streams of that kind that are closed or reset inside an event, and to a request that continues a stream an empty 500, a 200 without an event or the stream from its first event. Whole answers without a length are never cut, since nobody can tell that. A stream that ends in order inside an event is a violation now: before, the check took any error of the reader for a stream that had visibly broken off.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -1,6 +1,8 @@
 package soak_test
 
 import (
+	"errors"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +40,24 @@
 			c.Events = append(c.Events[:1], c.Events[2:]...)
 		}, "event 2 is"},
 		{"event repeated", stream, func(_ *recorder, c *clientRequest, _ *targetRequest) { c.Events[1] = c.Events[0] }, "event 2 is"},
+		{"stream began again", stream, func(_ *recorder, c *clientRequest, _ *targetRequest) {
+			c.Events = append(c.Events[:2:2], c.Events...)
+		}, "event 3 is"},
+		{"stream began again and broke off", stream, func(_ *recorder, c *clientRequest, _ *targetRequest) {
+			c.Events, c.Complete, c.Err = append(c.Events[:2:2], c.Events[0]), false, io.ErrUnexpectedEOF
+		}, "event 3 is"},
+		{"stream without an event", stream, func(_ *recorder, c *clientRequest, _ *targetRequest) { c.Events = nil }, "after 0 of"},
+		{"stream with a part of an event", stream, func(_ *recorder, c *clientRequest, _ *targetRequest) {
+			c.Events[2] = c.Events[2][:len(c.Events[2])-1]
+		}, "event 3 is"},
+		{"stream that ended in order inside an event", stream, func(l *recorder, c *clientRequest, _ *targetRequest) {
+			c.Events, c.Complete, c.Err = c.Events[:2], false, errors.Join(errNoRemovableTarget, io.EOF)
+			l.faultPeriods = []*faultPeriod{{What: "answer mode of i-1", From: at(0), To: at(200)}}
+		}, "ended as complete after 2 of"},
+		{"stream that broke off during a fault", stream, func(l *recorder, c *clientRequest, _ *targetRequest) {
+			c.Events, c.Complete, c.Err = c.Events[:2], false, io.ErrUnexpectedEOF
+			l.faultPeriods = []*faultPeriod{{What: "answer mode of i-1", From: at(0), To: at(200)}}
+		}, ""},
 		{"ran twice", unsafe, func(l *recorder, c *clientRequest, r *targetRequest) {
 			l.targetRequests[c.ID] = append(l.targetRequests[c.ID], *r)
 		}, "ran 2 times"},
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -147,10 +148,15 @@
 	}
 }
 
-// drawTarget draws one of all targets.
+// drawTarget draws a service and one of its targets, so that a service with many targets gets no more faults.
 func (w *system) drawTarget(rng *rand.Rand) *proxiedTarget {
-	all := w.allTargets()
-	return all[rng.IntN(len(all))]
+	list := w.targetsOf([]string{"draft", "desk"}[rng.IntN(2)])
+	return list[rng.IntN(len(list))]
+}
+
+// targetsOf returns all targets of a service.
+func (w *system) targetsOf(service string) []*proxiedTarget {
+	return slices.DeleteFunc(w.allTargets(), func(r *proxiedTarget) bool { return r.service != service })
 }
 
 // disruptLink applies a fault to the link of one target for a random time.
@@ -199,13 +205,22 @@
 	e.store.Heal()
 }
 
-// changeAnswerMode makes a target answer in a faulty mode for a random time.
+// changeAnswerMode makes a target answer in a faulty mode for a random time. A mode for continuations applies to all
+// targets of a service with streams, since another target than the one that broke off continues a stream.
 func (w *system) changeAnswerMode(rng *rand.Rand) {
-	r := w.drawTarget(rng)
-	defer w.recorder.beginFault("answer mode of "+r.id, false)()
-	r.mode.Store(int32(1 + rng.IntN(int(answerModes)-1)))
+	m := answerMode(1 + rng.IntN(int(answerModes)-1))
+	list := []*proxiedTarget{w.drawTarget(rng)}
+	if m >= failContinuation {
+		list = w.targetsOf("draft")
+	}
+	defer w.recorder.beginFault("answer mode of "+list[0].id, false)()
+	for _, r := range list {
+		r.mode.Store(int32(m))
+	}
 	time.Sleep(randomFaultTime(rng))
-	r.mode.Store(int32(sound))
+	for _, r := range list {
+		r.mode.Store(int32(sound))
+	}
 }
 
 // replace starts a target and drains another one of the same service. The old target continues to serve for the drain
--- a/test/soak/guarantees_test.go
+++ b/test/soak/guarantees_test.go
@@ -1,7 +1,9 @@
 package soak_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -77,7 +79,8 @@
 			return
 		}
 	}
-	if c.Complete && len(c.Events) != eventCount(c.ID) {
+	// A body that ends in order inside an event has the error io.EOF. Callers that rely on the framing take it as complete.
+	if (c.Complete || errors.Is(c.Err, io.EOF)) && len(c.Events) != eventCount(c.ID) {
 		l.addViolation(c, "a stream that ended as complete after %d of %d events", len(c.Events), eventCount(c.ID))
 	}
 }
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -35,7 +35,14 @@
 	slow                          // answers after slowPause
 	quiet                         // refuses the request and wants no other one for quietTime
 	endlessHead                   // executes the request and sends header lines until the connection is closed
-	answerModes                   // number of modes
+	unframed                      // answers correctly, without a length or chunks, and closes the connection in order
+	unframedCut                   // like unframed, but closes or resets the connection of a stream inside an event
+	// Modes that answer the continuation of a stream wrongly. Half of the new streams end inside an event, so that there
+	// are continuations. Whole answers are correct.
+	failContinuation  // 500 with an empty body
+	emptyContinuation // an unframed stream without an event
+	beginAgain        // the stream from its first event
+	answerModes       // number of modes
 )
 
 const (
@@ -169,10 +176,13 @@
 		return target.Reset()(c, a)
 	case m == endlessHead:
 		return r.sendEndlessHead(c)
-	case strings.HasPrefix(a.URI, "/draft/"):
-		return r.stream(c, id, resume, m == truncating)
+	case r.service != "desk":
+		return r.answerStream(c, a, m, resume)
 	case m == truncating:
 		return r.write(c, id, len(expectedBody(id, a.Body))+1, expectedBody(id, a.Body)) && false
+	case m == unframed || m == unframedCut:
+		// The answer is never cut: one without a length or chunks that ends early cannot be told from a complete one.
+		return r.write(c, id, noLength, expectedBody(id, a.Body)) && false
 	}
 	keep := r.write(c, id, len(expectedBody(id, a.Body)), expectedBody(id, a.Body))
 	if m == extraAnswer {
@@ -224,8 +234,15 @@
 	return false
 }
 
+// noLength makes write send an answer without a length, which ends with its connection.
+const noLength = -1
+
 func (r *proxiedTarget) write(c net.Conn, id string, length int, body string) bool {
-	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Length: %d\r\n", target.HeaderStamp, targetHeader, r.id, length)) {
+	framing := ""
+	if length != noLength {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", length)
+	}
+	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\n%s", target.HeaderStamp, targetHeader, r.id, framing)) {
 		return false
 	}
 	_, err := io.WriteString(c, body)
@@ -235,24 +252,76 @@
 // targetHeader is a header in which the targets of this test state their ids to clients.
 const targetHeader = "X-Target"
 
-// stream sends the events that follow the event number after. With cut, it closes the connection within an event.
-func (r *proxiedTarget) stream(c net.Conn, id string, after int, cut bool) bool {
+// streamEnd is how a stream ends.
+type streamEnd int
+
+// Ends of streams.
+const (
+	wholeStream streamEnd = iota
+	closedInEvent
+	resetInEvent
+)
+
+// answerStream answers a request for a stream, which continues after the event number after.
+func (r *proxiedTarget) answerStream(c net.Conn, a target.Arrival, m answerMode, after int) bool {
+	id := a.Header.Get(target.HeaderID)
+	choice := xxhash.Sum64String("mode " + id)
+	end, connectionEnds := wholeStream, m == unframed || m == unframedCut
+	switch {
+	case m == truncating:
+		end = closedInEvent
+	case m == unframedCut:
+		end = closedInEvent + streamEnd(choice%2)
+	case m < failContinuation:
+	case after == 0:
+		end, connectionEnds = streamEnd(choice%4), choice%8 < 4
+		if end > resetInEvent {
+			end = wholeStream
+		}
+	case m == failContinuation:
+		return target.Answer(http.StatusInternalServerError, "")(c, a)
+	case m == emptyContinuation:
+		after, connectionEnds = eventCount(id), true
+	default:
+		after, connectionEnds = 0, choice%8 < 4
+	}
+	return r.stream(c, a, after, connectionEnds, end)
+}
+
+// stream sends the events that follow the event number after, in chunks or until the connection ends.
+func (r *proxiedTarget) stream(c net.Conn, a target.Arrival, after int, connectionEnds bool, end streamEnd) bool {
+	id := a.Header.Get(target.HeaderID)
 	last := eventCount(id)
-	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", target.HeaderStamp, targetHeader, r.id)) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n", target.HeaderStamp, targetHeader, r.id)
+	encode := func(event string) string { return event }
+	if !connectionEnds {
+		head += "Transfer-Encoding: chunked\r\n"
+		encode = func(event string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(event), event) }
+	}
+	if !r.raw(c, id, head) {
 		return false
 	}
 	for n := after + 1; n <= last; n++ {
 		time.Sleep(eventPause)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, expectedEvent(id, n))
-		if cut && n == after+(last-after)/2 {
+		cut := end != wholeStream && n == after+(last-after)/2
+		if cut {
 			event = event[:len(event)-3]
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(c, encode(event)); err != nil {
 			return false
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if cut && end == resetInEvent {
+			time.Sleep(eventPause) // a reset discards what has not been delivered
+			return target.Reset()(c, a)
+		}
+		if cut {
 			return false
 		}
 	}
+	if connectionEnds {
+		return false
+	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
