soak: a part of a prompt that crashes engines

Clients state the parts of their prompts on stream routes. At least 6 of 12 engines run when a client sends it. New checks, each with cases in TestChecksFindViolations: - from 3 s after the fifth crash, three more requests with the part reach targets; - from 6 s after it, sound requests of the same account or first part begin at least half as often as before the first crash; - a request with a prompt that is refused with 503 has reached no target that could have run it.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -24,6 +25,40 @@
 		}
 		return c, targetRequest{Target: "i-1", Service: r.Service, At: at(10), Method: "POST", URI: r.Path + id, Account: "one", Body: "b", RemainingTime: r.Timeout}
 	}
+	// add adds a sound stream that was sent and reached a target at a time.
+	add := func(l *recorder, account, prompt string, ms int) *clientRequest {
+		c, r := sound(stream, fmt.Sprintf("q-a%d", len(l.clientRequests)))
+		c.Account, c.Prompt, c.Sent, c.Ended = account, prompt, at(ms), at(ms+100)
+		r.Account, r.Prompt, r.At = account, prompt, at(ms+10)
+		l.clientRequests, l.targetRequests[c.ID] = append(l.clientRequests, c), []targetRequest{r}
+		return c
+	}
+	crashes := func(l *recorder, n int) {
+		for i := range n {
+			l.crashes = append(l.crashes, crash{"bad", at(100 * i)})
+		}
+	}
+	// sendsOfPart adds n requests with a part that reach targets 3.1 s after its fifth crash.
+	sendsOfPart := func(l *recorder, n int) {
+		for range n {
+			add(l, "one", "a1:800,bad:410,c1:1", 3490)
+		}
+	}
+	// besidePart adds 20 sound requests before the first of five crashes, and n 6.1 s after the fifth one, of which only
+	// some begin. The part is sent again at lastSent.
+	besidePart := func(l *recorder, n, begun int, account, prompt string, lastSent int) {
+		crashes(l, 5)
+		add(l, "one", "a1:800,bad:410,c1:1", lastSent)
+		for range 20 {
+			add(l, account, prompt, -1000)
+		}
+		for i := range n {
+			if c := add(l, account, prompt, 6500); i >= begun {
+				c.Status, c.Stamped, c.Events = 503, false, nil
+				delete(l.targetRequests, c.ID)
+			}
+		}
+	}
 	cases := []struct {
 		name           string
 		route          route
@@ -65,6 +100,7 @@
 		{"false conflict", unsafe, func(_ *recorder, c *clientRequest, _ *targetRequest) { c.Status = 421 }, "a status that says that it did not"},
 		{"other account", safe, func(_ *recorder, _ *clientRequest, r *targetRequest) { r.Account = "two" }, `of "two"`},
 		{"other body", safe, func(_ *recorder, _ *clientRequest, r *targetRequest) { r.Body = "" }, "0 bytes"},
+		{"other prompt", stream, func(_ *recorder, _ *clientRequest, r *targetRequest) { r.Prompt = "a1:800" }, `prompt "a1:800"`},
 		{"other service", safe, func(_ *recorder, _ *clientRequest, r *targetRequest) { r.Service = "draft" }, "service draft"},
 		{"no client request", safe, func(l *recorder, _ *clientRequest, r *targetRequest) { l.targetRequests["q-7"] = []targetRequest{*r} }, "no client sent"},
 		{"too much time left", safe, func(_ *recorder, _ *clientRequest, r *targetRequest) { r.RemainingTime = 9 * time.Second }, "are left"},
@@ -125,6 +161,60 @@
 				l.clientRequests = append(l.clientRequests, &late)
 			}
 		}, "within 500ms"},
+		{"part sent on after its fifth crash", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			crashes(l, 5)
+			sendsOfPart(l, 4)
+		}, "4 requests with part bad reached targets"},
+		{"few requests with a part after its fifth crash", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			crashes(l, 5)
+			sendsOfPart(l, 3)
+		}, ""},
+		{"part sent on after its fourth crash", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			crashes(l, 4)
+			sendsOfPart(l, 4)
+		}, ""},
+		{"part sent on by a restarted entry", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			crashes(l, 5)
+			sendsOfPart(l, 4)
+			l.faultPeriods = []*faultPeriod{{What: "restart of e1", From: at(400), To: at(600)}}
+		}, ""},
+		{"part sent on 3 s after a restart", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			crashes(l, 5)
+			sendsOfPart(l, 4)
+			l.faultPeriods = []*faultPeriod{{What: "restart of e1", From: at(200), To: at(400)}, {What: "freeze of e2", From: at(3000), To: at(4000)}}
+		}, "4 requests with part bad reached targets"},
+		{"sound requests refused beside a part", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 9, "one", "a2:800,c2:1", 7000)
+		}, "9 of 20 sound requests began"},
+		{"sound requests with the same first part refused", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 9, "two", "a1:800,c2:1", 7000)
+		}, "9 of 20 sound requests began"},
+		{"half of the sound requests served beside a part", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 10, "one", "a1:800,c2:1", 7000)
+		}, ""},
+		{"other sound requests refused", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 0, "two", "a2:800,c2:1", 7000)
+		}, ""},
+		{"few sound requests beside a part", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 19, 0, "one", "a1:800,c2:1", 7000)
+		}, ""},
+		{"sound requests refused after the last one with the part", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 0, "one", "a1:800,c2:1", 6450)
+		}, ""},
+		{"sound requests refused beside a part during a fault", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 0, "one", "a1:800,c2:1", 7000)
+			l.faultPeriods = []*faultPeriod{{What: "link to i-2", From: at(6000), To: at(7000)}}
+		}, ""},
+		{"sound requests refused beside a part during its crash", stream, func(l *recorder, _ *clientRequest, _ *targetRequest) {
+			besidePart(l, 20, 0, "one", "a1:800,c2:1", 7000)
+			l.faultPeriods = []*faultPeriod{{What: crashFault + "i-2", From: at(6000), To: at(7000)}}
+		}, "0 of 20 sound requests began"},
+		{"prompt refused after it reached a target", stream, func(_ *recorder, c *clientRequest, r *targetRequest) {
+			c.Prompt, r.Prompt, c.Status, c.Stamped = "a1:800,bad:410", "a1:800,bad:410", 503, false
+		}, "refused with 503 reached a target"},
+		{"prompt refused after a target refused it", stream, func(_ *recorder, c *clientRequest, r *targetRequest) {
+			c.Prompt, r.Prompt, c.Status, c.Stamped, r.RefusedUnstarted = "a1:800,bad:410", "a1:800,bad:410", 503, false, true
+		}, ""},
 	}
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -66,6 +66,9 @@
 	account := []string{"one", "two"}[n%2]
 	out := &clientRequest{ID: fmt.Sprintf("q-%d", n), Route: r, Account: account, Body: strings.Repeat("b", 1+int(n%maxBodyBytes)), Entry: e.name,
 		Incarnation: e.currentIncarnation(), Sent: time.Now()}
+	if r.Kind == "stream" {
+		out.Prompt = c.drawPrompt(account, n, r.Service == "chat" && c.system.sendsPart() && c.rng.Float64() < crashingShare)
+	}
 	c.system.recorder.addClientRequest(out)
 	done := *out
 	c.send(&done, e)
@@ -88,6 +91,9 @@
 	req.ContentLength = int64(len(out.Body))
 	req.Header.Set(target.HeaderID, out.ID)
 	req.Header.Set("Authorization", "Bearer key-"+out.Account)
+	if out.Prompt != "" {
+		req.Header.Set(promptHeader, out.Prompt)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		out.Err = err
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -150,7 +150,7 @@
 
 // drawTarget draws a service and one of its targets, so that a service with many targets gets no more faults.
 func (w *system) drawTarget(rng *rand.Rand) *proxiedTarget {
-	list := w.targetsOf([]string{"draft", "desk"}[rng.IntN(2)])
+	list := w.targetsOf([]string{"draft", "desk", "chat"}[rng.IntN(3)])
 	return list[rng.IntN(len(list))]
 }
 
@@ -211,7 +211,7 @@
 	m := answerMode(1 + rng.IntN(int(answerModes)-1))
 	list := []*proxiedTarget{w.drawTarget(rng)}
 	if m >= failContinuation {
-		list = w.targetsOf("draft")
+		list = w.targetsOf([]string{"draft", "chat"}[rng.IntN(2)])
 	}
 	defer w.recorder.beginFault("answer mode of "+list[0].id, false)()
 	for _, r := range list {
--- a/test/soak/guarantees_test.go
+++ b/test/soak/guarantees_test.go
@@ -34,6 +34,7 @@
 		l.checkAnswer(c)
 		l.checkRuns(c)
 		l.checkPlannedStop(c)
+		l.checkRefusedPrompt(c)
 	}
 	for id, runs := range l.targetRequests {
 		l.checkOrigin(id, byID[id], runs)
@@ -43,6 +44,7 @@
 	l.checkRetries()
 	l.checkTimeouts()
 	l.checkConfiguration()
+	l.checkCrashingParts(byID)
 	return l.violations
 }
 
@@ -127,8 +129,8 @@
 		return
 	}
 	for _, r := range runs {
-		if r.Method != http.MethodPost || r.URI != c.Route.Path+c.ID || r.Body != c.Body || r.Account != c.Account {
-			l.addViolation(c, "target %s received %s %s of %q with %d bytes", r.Target, r.Method, r.URI, r.Account, len(r.Body))
+		if r.Method != http.MethodPost || r.URI != c.Route.Path+c.ID || r.Body != c.Body || r.Account != c.Account || r.Prompt != c.Prompt {
+			l.addViolation(c, "target %s received %s %s of %q with %d bytes, prompt %q", r.Target, r.Method, r.URI, r.Account, len(r.Body), r.Prompt)
 		}
 		if r.Service != c.Route.Service {
 			l.addViolation(c, "a target of service %s received it", r.Service)
@@ -244,7 +246,7 @@
 // checkRetries checks that the attempts beyond the first one of each request stay within the retry share of the
 // requests.
 func (l *recorder) checkRetries() {
-	for _, service := range []string{"draft", "desk"} {
+	for _, service := range []string{"draft", "desk", "chat"} {
 		var sent, retries []time.Time
 		for _, c := range l.clientRequests {
 			if c.Route.Service != service {
@@ -344,3 +346,139 @@
 		}
 	}
 }
+
+const (
+	// crashesToKnow is the number of crashes after which a part is known to crash engines, and knownTime the time after
+	// the last of them in which requests with the part may still reach targets.
+	crashesToKnow = 5
+	knownTime     = 3 * time.Second
+	// maxSendsOfPart is the number of requests with a known part that may reach targets after knownTime.
+	maxSendsOfPart = 3
+	// entryFaultTime is the time after a fault of an entry in which its requests do not count in maxSendsOfPart.
+	entryFaultTime = 3 * time.Second
+	// shareTime is the time after the last of these crashes from which sound requests must be served again.
+	shareTime = 6 * time.Second
+	// minBeside is the number of sound requests on each side from which their shares are compared.
+	minBeside = 20
+)
+
+// partIDs returns the ids of the parts of a prompt.
+func partIDs(prompt string) []string {
+	var out []string
+	for _, part := range strings.Split(prompt, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		out = append(out, id)
+	}
+	return out
+}
+
+// checkRefusedPrompt checks that a request with a prompt that an entry refuses with 503 has reached no target that could
+// have run it. This covers refusals because of a part, whose reason the platform's protocol does not name.
+func (l *recorder) checkRefusedPrompt(c *clientRequest) {
+	ran := func(r targetRequest) bool { return !r.RefusedUnstarted }
+	if c.Prompt != "" && c.Status == http.StatusServiceUnavailable && slices.ContainsFunc(l.targetRequests[c.ID], ran) {
+		l.addViolation(c, "a request refused with 503 reached a target that could have run it")
+	}
+}
+
+// checkCrashingParts checks that a part that crashes targets is kept from them, and that sound requests do not suffer
+// from it.
+func (l *recorder) checkCrashingParts(byID map[string]*clientRequest) {
+	byPart := map[string][]time.Time{}
+	for _, k := range l.crashes {
+		byPart[k.Part] = append(byPart[k.Part], k.At)
+	}
+	for part, crashes := range byPart {
+		slices.SortFunc(crashes, time.Time.Compare)
+		if len(crashes) >= crashesToKnow {
+			l.checkSendsOfPart(part, crashes[crashesToKnow-1].Add(knownTime), byID)
+		}
+		l.checkBesidePart(part, crashes[0], crashes[min(len(crashes), crashesToKnow)-1].Add(shareTime))
+	}
+}
+
+// checkSendsOfPart checks that few requests with a part reach targets after a time.
+func (l *recorder) checkSendsOfPart(part string, after time.Time, byID map[string]*clientRequest) {
+	n := 0
+	var last *clientRequest
+	var lastAt time.Time
+	for id, runs := range l.targetRequests {
+		c := byID[id]
+		if c == nil || !slices.Contains(partIDs(c.Prompt), part) {
+			continue
+		}
+		for _, r := range runs {
+			if !r.At.After(after) || l.entryFault(c.Entry, r.At.Add(-entryFaultTime), r.At) {
+				continue
+			}
+			if n++; r.At.After(lastAt) {
+				last, lastAt = c, r.At
+			}
+		}
+	}
+	if n > maxSendsOfPart {
+		l.addViolation(last, "%d requests with part %s reached targets later than %v after crash %d, the last one %v later", n, part, knownTime,
+			crashesToKnow, lastAt.Sub(after))
+	}
+}
+
+// entryFault reports whether an entry was restarted, frozen or cut off between two times.
+func (l *recorder) entryFault(entry string, from, to time.Time) bool {
+	return slices.ContainsFunc(l.faultPeriods, func(d *faultPeriod) bool {
+		of := d.What == "restart of "+entry || d.What == "freeze of "+entry || d.What == "store of "+entry
+		return of && d.From.Before(to) && (d.To.IsZero() || d.To.After(from))
+	})
+}
+
+// checkBesidePart checks that sound requests which share the route and the account or first part with requests of a part
+// begin at least half as often after a time, while the part is still sent, as before its first crash.
+func (l *recorder) checkBesidePart(part string, first, after time.Time) {
+	shared := map[string]bool{} // accounts and first parts by route
+	var lastSent time.Time
+	keys := func(c *clientRequest) (account, part string) {
+		return c.Route.Path + " account " + c.Account, c.Route.Path + " part " + partIDs(c.Prompt)[0]
+	}
+	for _, c := range l.clientRequests {
+		if slices.Contains(partIDs(c.Prompt), part) {
+			account, start := keys(c)
+			shared[account], shared[start] = true, true
+			if c.Sent.After(lastSent) {
+				lastSent = c.Sent
+			}
+		}
+	}
+	var sent, begun [2]int // before the first crash, and later
+	for _, c := range l.clientRequests {
+		account, start := keys(c)
+		if c.Ended.IsZero() || slices.Contains(partIDs(c.Prompt), part) || !shared[account] && !shared[start] || l.otherFault(c.Sent, c.Ended) {
+			continue
+		}
+		side := 0
+		switch {
+		case c.Ended.Before(first):
+		case c.Sent.After(after) && c.Sent.Before(lastSent):
+			side = 1
+		default:
+			continue
+		}
+		sent[side]++
+		if c.Status == http.StatusOK && len(c.Events) > 0 {
+			begun[side]++
+		}
+	}
+	text := fmt.Sprintf("beside part %s, %d of %d sound requests began, and %d of %d before its first crash", part, begun[1], sent[1], begun[0], sent[0])
+	l.notes = append(l.notes, text)
+	if min(sent[0], sent[1]) >= minBeside && 2*begun[1]*sent[0] < begun[0]*sent[1] {
+		l.addViolation(nil, "%s", text)
+	}
+}
+
+// crashFault begins the names of the faults that record crashes by a part.
+const crashFault = "crash by a part of "
+
+// otherFault reports whether a fault or operator action was in force between two times, besides crashes by a part.
+func (l *recorder) otherFault(from, to time.Time) bool {
+	return slices.ContainsFunc(l.faultPeriods, func(d *faultPeriod) bool {
+		return !strings.HasPrefix(d.What, crashFault) && d.From.Before(to) && (d.To.IsZero() || d.To.After(from))
+	})
+}
--- a/test/soak/recorder_test.go
+++ b/test/soak/recorder_test.go
@@ -11,6 +11,7 @@
 	Route       route
 	Account     string
 	Body        string
+	Prompt      string // parts of the prompt, as in promptHeader
 	Entry       string
 	Incarnation int // incarnation of the entry's process, counted from 1
 	Sent        time.Time
@@ -30,6 +31,7 @@
 	At               time.Time
 	Method, URI      string
 	Account, Body    string
+	Prompt           string
 	ResumeAfter      int
 	RemainingTime    time.Duration // time left, as stated in the request
 	RefusedUnstarted bool          // the target answered that it did not execute the request
@@ -44,6 +46,12 @@
 	From, To time.Time // To is zero while the fault is in force
 }
 
+// crash is the end of a target that a part of a prompt has crashed.
+type crash struct {
+	Part string
+	At   time.Time
+}
+
 // recorder collects what clients and targets observe during a run. It is safe for concurrent use.
 type recorder struct {
 	mu             sync.Mutex
@@ -52,7 +60,9 @@
 	faultPeriods   []*faultPeriod
 	versions       map[int]time.Time    // time at which each configuration was published
 	leaveBeganAt   map[string]time.Time // time at which each target began to leave
+	crashes        []crash
 	violations     []string
+	notes          []string // figures that checks have compared
 }
 
 func newRecorder() *recorder {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -100,9 +100,18 @@
 	var load sync.WaitGroup
 	load.Go(func() { w.runClients(ctx, seed) })
 	go w.shiftPopularity(ctx, rand.New(rand.NewPCG(seed, 3)))
+	sendsPart := seed%crashPartSeedPeriod == 0 && !w.plannedOnly
+	if sendsPart {
+		time.Sleep(timeBeforePart)
+		w.beginPart(rand.New(rand.NewPCG(seed, 4)))
+	}
 	faulty, end := context.WithTimeout(ctx, *length)
 	defer end()
 	w.injectFaults(faulty)
+	if sendsPart {
+		time.Sleep(timeOfPartAlone)
+		w.endPart()
+	}
 	before := w.group.Step()
 	time.Sleep(recoveryTime)
 	if w.group.Step() <= before+int64(recoveryTime/groupStepTime)/2 {
@@ -115,6 +124,9 @@
 	for _, f := range w.recorder.checkAll() {
 		t.Error(f)
 	}
+	for _, n := range w.recorder.notes {
+		t.Log(n)
+	}
 	w.summary()
 	if t.Failed() && *logDir != "" {
 		w.keepLogs(seed)
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,7 @@
 	entryCount  = 3
 	rankCount   = 4 // engines of the streaming service, which form one group
 	deskCount   = 3
+	chatCount   = 12 // engines of the other streaming service, which form no group
 	slots       = 8
 	drainBound  = 2 * time.Second
 	graceBound  = 8 * time.Second
@@ -56,6 +58,7 @@
 	{Kind: "stream", Path: "/draft/", Service: "draft", Timeout: 4 * time.Second, Attempts: 2, Version: 1},
 	{Kind: "safe", Path: "/look/", Service: "desk", Timeout: 2 * time.Second, Attempts: 2, Version: 1},
 	{Kind: "unsafe", Path: "/book/", Service: "desk", Timeout: 2 * time.Second, Attempts: 1, Version: 1},
+	{Kind: "stream", Path: "/chat/", Service: "chat", Timeout: 4 * time.Second, Attempts: 2, Version: 1},
 }
 
 // versionRoute returns the route that a configuration adds.
@@ -101,6 +104,11 @@
 	storeBusy   sync.Mutex // held while a fault of the store is in force
 	groupBusy   sync.Mutex // held while the group is broken
 	config      string     // last published configuration; guarded by mu
+
+	crashPart   atomic.Pointer[string] // id of the part that crashes engines, nil before there is one
+	partIsSent  atomic.Bool            // clients put crashPart into a share of their prompts
+	chatRunning atomic.Int32           // engines of the service chat that have not crashed
+	restarts    sync.WaitGroup         // of engines that have crashed
 }
 
 func newSystem(t *testing.T, bin string, rng *rand.Rand) *system {
@@ -111,6 +119,10 @@
 	for range deskCount {
 		w.addTarget("desk", nil)
 	}
+	for range chatCount {
+		w.addTarget("chat", nil)
+	}
+	w.chatRunning.Store(chatCount)
 	for i := range entryCount {
 		w.entries = append(w.entries, w.newEntry(fmt.Sprintf("e%d", i+1)))
 	}
@@ -138,6 +150,7 @@
 	for _, e := range w.entries {
 		e.store.Close()
 	}
+	w.restarts.Wait()
 	for _, r := range w.allTargets() {
 		r.close()
 	}
@@ -303,8 +316,9 @@
 		doc += fmt.Sprintf(`{"name":"r%d","hostname":"h","prefix":%q,"route_kind":%q,"timeout_ms":%d,"target_latency_ms":500,
 			"service":%q,"max_attempts":%d,"stream_resumption":true},`, i, r.Path, r.Kind, r.Timeout.Milliseconds(), r.Service, r.Attempts)
 	}
-	w.config = fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"draft","engine":%s},{"name":"desk"}],
-		"tenants":[{"name":"one","api_keys":["key-one"]},{"name":"two","api_keys":["key-two"]}]}`, w.version, doc[:len(doc)-1], engineDoc())
+	w.config = fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"draft","engine":%s},{"name":"desk"},
+		{"name":"chat","engine":{"slots":%d,"stride":1,"step_ms":1,"per_seq_ms":0.1}}],
+		"tenants":[{"name":"one","api_keys":["key-one"]},{"name":"two","api_keys":["key-two"]}]}`, w.version, doc[:len(doc)-1], engineDoc(), slots)
 	w.store.Put("op/config", w.config)
 	w.recorder.locked(func() { w.recorder.versions[w.version] = time.Now() })
 }
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -57,12 +57,14 @@
 // proxiedTarget is a target that is reached through a link on which tests inject faults.
 type proxiedTarget struct {
 	id, service string
+	born        int64 // on the platform's list
 	system      *system
 	target      *target.Target
 	rank        *expertgroup.Rank // nil if the target is not in the group
 	link        *faultproxy.Link
 	mode        atomic.Int32
 	leaving     atomic.Bool // says in all answers that it leaves
+	crashed     atomic.Bool // a part of a prompt has crashed it
 	running     atomic.Int32
 	state       string // on the platform's list; empty if it is not listed; guarded by system.mu
 	listed      bool   // on the platform's list and not chosen to leave; guarded by system.mu
@@ -84,19 +86,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.targetCount++
-	r := &proxiedTarget{id: fmt.Sprintf("i-%d", w.targetCount), service: service, system: w, rank: rank, listed: true}
-	var err error
-	if r.target, err = target.Start(r.answer); err != nil {
-		w.t.Fatal(err)
-	}
-	if r.link, err = faultproxy.NewAt(newTargetAddress(), r.target.Addr); err != nil {
+	r := &proxiedTarget{id: fmt.Sprintf("i-%d", w.targetCount), born: 1, service: service, system: w, rank: rank, listed: true}
+	if err := r.start(newTargetAddress()); err != nil {
 		w.t.Fatal(err)
 	}
-	r.publishState("ready")
 	w.targets = append(w.targets, r)
 	return r
 }
 
+// start starts the target behind a link that listens on addr, and adds it to the platform's list. The caller holds
+// system.mu.
+func (r *proxiedTarget) start(addr string) (err error) {
+	if r.target, err = target.Start(r.answer); err != nil {
+		return err
+	}
+	if r.link, err = faultproxy.NewAt(addr, r.target.Addr); err != nil {
+		return err
+	}
+	r.publishState("ready")
+	return nil
+}
+
 // publishState writes the target with the given state to the platform's list, or removes it if the state is empty. The
 // caller holds system.mu.
 func (r *proxiedTarget) publishState(state string) {
@@ -105,8 +115,8 @@
 		r.system.store.Delete("servers/" + r.id)
 		return
 	}
-	r.system.store.Put("servers/"+r.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v","slots":%d,"state":%q,"born":1}`,
-		r.service, r.link.Addr(), slots, state))
+	r.system.store.Put("servers/"+r.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v","slots":%d,"state":%q,"born":%d}`,
+		r.service, r.link.Addr(), slots, state, r.born))
 }
 
 // setState changes the state of the target on the platform's list.
@@ -148,12 +158,15 @@
 	if strings.HasPrefix(a.URI, "/-/") {
 		return r.serveEngineCall(c, a)
 	}
+	if r.crashed.Load() {
+		return false
+	}
 	id := a.Header.Get(target.HeaderID)
 	m := answerMode(r.mode.Load())
 	resume, _ := strconv.Atoi(a.Header.Get("Last-Event-Id"))
 	ms, _ := strconv.Atoi(a.Header.Get("X-Camphorbank-Deadline-Ms"))
 	seen := targetRequest{Target: r.id, Service: r.service, At: time.Now(), Method: a.Method, URI: a.URI, Body: a.Body, ResumeAfter: resume,
-		Account: a.Header.Get("X-Camphorbank-Tenant-Id"), RemainingTime: time.Duration(ms) * time.Millisecond}
+		Prompt: a.Header.Get(promptHeader), Account: a.Header.Get("X-Camphorbank-Tenant-Id"), RemainingTime: time.Duration(ms) * time.Millisecond}
 	busy := r.running.Add(1)
 	defer r.running.Add(-1)
 	if m == quiet {
@@ -288,10 +301,19 @@
 	return r.stream(c, a, after, connectionEnds, end)
 }
 
-// stream sends the events that follow the event number after, in chunks or until the connection ends.
+// stream sends the events that follow the event number after, in chunks or until the connection ends. If a part of the
+// prompt crashes engines, it ends the target before the answer or after the first event. The connection is then reset,
+// since an answer without a length or chunks that is closed in order between events counts as complete.
 func (r *proxiedTarget) stream(c net.Conn, a target.Arrival, after int, connectionEnds bool, end streamEnd) bool {
 	id := a.Header.Get(target.HeaderID)
-	last := eventCount(id)
+	last, part := eventCount(id), r.system.crashingPart(a.Header.Get(promptHeader))
+	if part != "" {
+		time.Sleep(eventPause)
+		if xxhash.Sum64String("crash "+id)%2 == 0 {
+			r.crashOn(part)
+			return target.Reset()(c, a)
+		}
+	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n", target.HeaderStamp, targetHeader, r.id)
 	encode := func(event string) string { return event }
 	if !connectionEnds {
@@ -318,6 +340,11 @@
 		if cut {
 			return false
 		}
+		if part != "" {
+			time.Sleep(eventPause)
+			r.crashOn(part)
+			return target.Reset()(c, a)
+		}
 	}
 	if connectionEnds {
 		return false
