--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,7 +35,14 @@
 	slow                          // answers after slowPause
 	quiet                         // refuses the request and wants no other one for quietTime
 	endlessHead                   // executes the request and sends header lines until the connection is closed
-	answerModes                   // number of modes
+	unframed                      // answers correctly, without a length or chunks, and closes the connection in order
+	unframedCut                   // like unframed, but closes or resets the connection of a stream inside an event
+	// Modes that answer the continuation of a stream wrongly. Half of the new streams end inside an event, so that there
+	// are continuations. Whole answers are correct.
+	failContinuation  // 500 with an empty body
+	emptyContinuation // an unframed stream without an event
+	beginAgain        // the stream from its first event
+	answerModes       // number of modes
 )
 
 const (
@@ -49,36 +57,56 @@
 // proxiedTarget is a target that is reached through a link on which tests inject faults.
 type proxiedTarget struct {
 	id, service string
+	born        int64 // on the platform's list
 	system      *system
 	target      *target.Target
 	rank        *expertgroup.Rank // nil if the target is not in the group
 	link        *faultproxy.Link
 	mode        atomic.Int32
 	leaving     atomic.Bool // says in all answers that it leaves
+	crashed     atomic.Bool // a part of a prompt has crashed it
 	running     atomic.Int32
 	state       string // on the platform's list; empty if it is not listed; guarded by system.mu
 	listed      bool   // on the platform's list and not chosen to leave; guarded by system.mu
 	once        sync.Once
 }
 
+var targetAddresses atomic.Uint32
+
+// newTargetAddress returns an address with a free port on a loopback IP address of its own. The port of a target that has
+// ended is thus not given to another target, which would get the requests of entries that do not know of the end yet.
+func newTargetAddress() string {
+	const perByte = 250
+	n := targetAddresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%perByte, n/perByte, 1+n%perByte)
+}
+
 // addTarget starts a target and adds it to the platform's list.
 func (w *system) addTarget(service string, rank *expertgroup.Rank) *proxiedTarget {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.targetCount++
-	r := &proxiedTarget{id: fmt.Sprintf("i-%d", w.targetCount), service: service, system: w, rank: rank, listed: true}
-	var err error
-	if r.target, err = target.Start(r.answer); err != nil {
-		w.t.Fatal(err)
-	}
-	if r.link, err = faultproxy.New(r.target.Addr); err != nil {
+	r := &proxiedTarget{id: fmt.Sprintf("i-%d", w.targetCount), born: 1, service: service, system: w, rank: rank, listed: true}
+	if err := r.start(newTargetAddress()); err != nil {
 		w.t.Fatal(err)
 	}
-	r.publishState("ready")
 	w.targets = append(w.targets, r)
 	return r
 }
 
+// start starts the target behind a link that listens on addr, and adds it to the platform's list. The caller holds
+// system.mu.
+func (r *proxiedTarget) start(addr string) (err error) {
+	if r.target, err = target.Start(r.answer); err != nil {
+		return err
+	}
+	if r.link, err = faultproxy.NewAt(addr, r.target.Addr); err != nil {
+		return err
+	}
+	r.publishState("ready")
+	return nil
+}
+
 // publishState writes the target with the given state to the platform's list, or removes it if the state is empty. The
 // caller holds system.mu.
 func (r *proxiedTarget) publishState(state string) {
@@ -87,8 +115,8 @@
 		r.system.store.Delete("servers/" + r.id)
 		return
 	}
-	r.system.store.Put("servers/"+r.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v","slots":%d,"state":%q,"born":1}`,
-		r.service, r.link.Addr(), slots, state))
+	r.system.store.Put("servers/"+r.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v","slots":%d,"state":%q,"born":%d}`,
+		r.service, r.link.Addr(), slots, state, r.born))
 }
 
 // setState changes the state of the target on the platform's list.
@@ -130,12 +158,15 @@
 	if strings.HasPrefix(a.URI, "/-/") {
 		return r.serveEngineCall(c, a)
 	}
+	if r.crashed.Load() {
+		return false
+	}
 	id := a.Header.Get(target.HeaderID)
 	m := answerMode(r.mode.Load())
 	resume, _ := strconv.Atoi(a.Header.Get("Last-Event-Id"))
 	ms, _ := strconv.Atoi(a.Header.Get("X-Camphorbank-Deadline-Ms"))
 	seen := targetRequest{Target: r.id, Service: r.service, At: time.Now(), Method: a.Method, URI: a.URI, Body: a.Body, ResumeAfter: resume,
-		Account: a.Header.Get("X-Camphorbank-Tenant-Id"), RemainingTime: time.Duration(ms) * time.Millisecond}
+		Prompt: a.Header.Get(promptHeader), Account: a.Header.Get("X-Camphorbank-Tenant-Id"), RemainingTime: time.Duration(ms) * time.Millisecond}
 	busy := r.running.Add(1)
 	defer r.running.Add(-1)
 	if m == quiet {
@@ -158,10 +189,13 @@
 		return target.Reset()(c, a)
 	case m == endlessHead:
 		return r.sendEndlessHead(c)
-	case strings.HasPrefix(a.URI, "/draft/"):
-		return r.stream(c, id, resume, m == truncating)
+	case r.service != "desk":
+		return r.answerStream(c, a, m, resume)
 	case m == truncating:
 		return r.write(c, id, len(expectedBody(id, a.Body))+1, expectedBody(id, a.Body)) && false
+	case m == unframed || m == unframedCut:
+		// The answer is never cut: one without a length or chunks that ends early cannot be told from a complete one.
+		return r.write(c, id, noLength, expectedBody(id, a.Body)) && false
 	}
 	keep := r.write(c, id, len(expectedBody(id, a.Body)), expectedBody(id, a.Body))
 	if m == extraAnswer {
@@ -213,8 +247,15 @@
 	return false
 }
 
+// noLength makes write send an answer without a length, which ends with its connection.
+const noLength = -1
+
 func (r *proxiedTarget) write(c net.Conn, id string, length int, body string) bool {
-	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Length: %d\r\n", target.HeaderStamp, targetHeader, r.id, length)) {
+	framing := ""
+	if length != noLength {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", length)
+	}
+	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\n%s", target.HeaderStamp, targetHeader, r.id, framing)) {
 		return false
 	}
 	_, err := io.WriteString(c, body)
@@ -224,23 +265,89 @@
 // targetHeader is a header in which the targets of this test state their ids to clients.
 const targetHeader = "X-Target"
 
-// stream sends the events that follow the event number after. With cut, it closes the connection within an event.
-func (r *proxiedTarget) stream(c net.Conn, id string, after int, cut bool) bool {
-	last := eventCount(id)
-	if !r.raw(c, id, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", target.HeaderStamp, targetHeader, r.id)) {
+// streamEnd is how a stream ends.
+type streamEnd int
+
+// Ends of streams.
+const (
+	wholeStream streamEnd = iota
+	closedInEvent
+	resetInEvent
+)
+
+// answerStream answers a request for a stream, which continues after the event number after.
+func (r *proxiedTarget) answerStream(c net.Conn, a target.Arrival, m answerMode, after int) bool {
+	id := a.Header.Get(target.HeaderID)
+	choice := xxhash.Sum64String("mode " + id)
+	end, connectionEnds := wholeStream, m == unframed || m == unframedCut
+	switch {
+	case m == truncating:
+		end = closedInEvent
+	case m == unframedCut:
+		end = closedInEvent + streamEnd(choice%2)
+	case m < failContinuation:
+	case after == 0:
+		end, connectionEnds = streamEnd(choice%4), choice%8 < 4
+		if end > resetInEvent {
+			end = wholeStream
+		}
+	case m == failContinuation:
+		return target.Answer(http.StatusInternalServerError, "")(c, a)
+	case m == emptyContinuation:
+		after, connectionEnds = eventCount(id), true
+	default:
+		after, connectionEnds = 0, choice%8 < 4
+	}
+	return r.stream(c, a, after, connectionEnds, end)
+}
+
+// stream sends the events that follow the event number after, in chunks or until the connection ends. If a part of the
+// prompt crashes engines, it ends the target before the answer or after the first event. The connection is then reset,
+// since an answer without a length or chunks that is closed in order between events counts as complete.
+func (r *proxiedTarget) stream(c net.Conn, a target.Arrival, after int, connectionEnds bool, end streamEnd) bool {
+	id := a.Header.Get(target.HeaderID)
+	last, part := eventCount(id), r.system.crashingPart(a.Header.Get(promptHeader))
+	if part != "" {
+		time.Sleep(eventPause)
+		if xxhash.Sum64String("crash "+id)%2 == 0 {
+			r.crashOn(part)
+			return target.Reset()(c, a)
+		}
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n", target.HeaderStamp, targetHeader, r.id)
+	encode := func(event string) string { return event }
+	if !connectionEnds {
+		head += "Transfer-Encoding: chunked\r\n"
+		encode = func(event string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(event), event) }
+	}
+	if !r.raw(c, id, head) {
 		return false
 	}
 	for n := after + 1; n <= last; n++ {
 		time.Sleep(eventPause)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, expectedEvent(id, n))
-		if cut && n == after+(last-after)/2 {
+		cut := end != wholeStream && n == after+(last-after)/2
+		if cut {
 			event = event[:len(event)-3]
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(c, encode(event)); err != nil {
 			return false
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if cut && end == resetInEvent {
+			time.Sleep(eventPause) // a reset discards what has not been delivered
+			return target.Reset()(c, a)
+		}
+		if cut {
 			return false
 		}
+		if part != "" {
+			time.Sleep(eventPause)
+			r.crashOn(part)
+			return target.Reset()(c, a)
+		}
+	}
+	if connectionEnds {
+		return false
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
