quarantine: correct comments and pages on tests, reports and held-off requests

Each entry tests a part by itself, a suspect is held off while any crash is not settled, and a negative remaining time means that the quarantine has ended, not that a test runs.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -18,11 +18,11 @@
 	// not. A common part is in the requests of every crash, whatever the cause.
 	commonShare = 0.125
 	fewRequests = 3
-	// baselineAnswers is the number of answers that must have begun without a part before it is remarkable that none has
-	// begun with it.
+	// baselineAnswers is the number of answers that must have begun while none with the part did, before the lack of answers
+	// counts as evidence against the part.
 	baselineAnswers = 20
-	// settleTime is the time after a crash in which the requests that the engine held become known, also those of other
-	// entries. Before, a part that was there by chance cannot be told from the cause.
+	// settleTime is the time after a crash in which peers report the requests that they had at the engine. Until then, a part
+	// that was there by chance cannot be told from the cause.
 	settleTime = 500 * time.Millisecond
 	// crashMemory is the time for which a crash counts.
 	crashMemory = 30 * time.Minute
@@ -39,7 +39,7 @@
 type history struct {
 	requests  float64 // number of requests, older ones counted less
 	lastSeen  time.Time
-	lastBegun time.Time // time at which an answer began last; zero if none has
+	lastBegun time.Time // time at which an answer with the part last began; zero if none has
 	common    bool      // many requests had the part before the first crash under it since then
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,8 +5,8 @@
 // with a certain part. A Tracker records which parts the requests had that an engine held when it crashed before their
 // answers had begun, and which parts have been in requests whose answers did begin. Entries exchange this evidence. A
 // part that explains several crashes and has not been in an answer since is quarantined: requests with it are refused
-// for some time, after which a single one tests whether engines still crash. Until all is known about a crash, requests
-// with a part that may explain it and others are held off.
+// for some time, after which each entry lets a single one at a time through to test whether engines still crash. While a
+// crash is recent and evidence may still arrive, requests with a suspected part are held off.
 package quarantine
 
 import (
@@ -48,13 +48,13 @@
 	quarantines map[Part]*quarantine
 }
 
-// quarantine is the state of a part that is or was quarantined.
+// quarantine is the quarantine of a part. It remains after its end until an answer with the part has begun.
 type quarantine struct {
 	since, until time.Time
 	duration     time.Duration
 	// testAfter is the time from which this process sends a single request with the part to test it.
 	testAfter time.Time
-	testing   *Prompt // that request, while it runs
+	testing   *Prompt // the request that tests the part; nil if none does
 }
 
 // New returns a tracker. now is its clock.
@@ -113,8 +113,8 @@
 	return "", 0
 }
 
-// heldOff returns a part of the request that explains several crashes, the last of which is not settled, or an empty part.
-// The caller holds the tracker's lock.
+// heldOff returns a part of the request that is a suspect while any crash is not settled, or an empty part. The caller
+// holds the tracker's lock.
 func (p *Prompt) heldOff() Part {
 	if p.tracker.unsettled == 0 {
 		return ""
@@ -183,8 +183,7 @@
 	}
 }
 
-// Suspected reports whether a part of the request explains several crashes, though not surely enough for a quarantine.
-// Such a request should not be sent again by itself.
+// Suspected reports whether a part of the request is a suspect or quarantined. The gateway must not retry such a request.
 func (p *Prompt) Suspected() bool {
 	if p == nil {
 		return false
@@ -243,7 +242,7 @@
 	return &quarantine{since: since, until: until, duration: d, testAfter: until.Add(spread)}
 }
 
-// Sweep forgets what is too old to matter.
+// Sweep removes crashes and quarantines that are too old to count.
 func (t *Tracker) Sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -256,7 +255,7 @@
 	}
 	for part, q := range t.quarantines {
 		if now.Sub(q.until) > maxQuarantine {
-			delete(t.quarantines, part) // no request has had it for long
+			delete(t.quarantines, part) // no test of the part has had a result for so long
 		}
 	}
 	t.forgetRequests(now)
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -6,7 +6,8 @@
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
 
-// crashShareTime is the time for which a crash is sent to peers after this process has learned something about it.
+// crashShareTime is the time for which a crash is sent to peers after this process has learned of it or of another of its
+// parts.
 const crashShareTime = 3 * time.Second
 
 // Report is the evidence that entries send each other. Clocks differ between processes, so that it states ages.
@@ -33,11 +34,12 @@
 type QuarantineReport struct {
 	Part       Part  `json:"p"`
 	AgeMs      int64 `json:"a"`
-	LeftMs     int64 `json:"l"` // negative if the part is being tested
+	LeftMs     int64 `json:"l"` // negative if it has ended and the part awaits a test
 	DurationMs int64 `json:"d"`
 }
 
-// Report returns the evidence that peers need, or nil if there is none.
+// Report returns the crashes of which this process learned recently and all quarantines. It returns nil if no crash and
+// no quarantine is stored.
 func (t *Tracker) Report() *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
