--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -24,9 +24,9 @@
 	// settleTime is the time after a crash in which peers report the requests that they had at the engine. Until then, a part
 	// that was there by chance cannot be told from the cause.
 	settleTime = 500 * time.Millisecond
-	// crashMemory is the time for which a crash counts.
-	crashMemory = 30 * time.Minute
-	maxCrashes  = 64
+	// crashRetention is the time for which a crash counts.
+	crashRetention = 30 * time.Minute
+	maxCrashes     = 64
 	// maxPartsPerCrash bounds the parts that are stored for a crash.
 	maxPartsPerCrash = 64
 	// maxHistories bounds the parts that are remembered.
@@ -45,19 +45,19 @@
 
 // crash is one crash of an engine.
 type crash struct {
-	at          time.Time
-	known       time.Time // time at which this process learned of it
-	learned     time.Time // time at which its latest part became known to this process
-	settled     bool      // settleTime has passed since it became known
-	parts       map[Part]bool
-	begunBefore int // Tracker.begun at the crash
+	at            time.Time
+	firstReported time.Time // time at which this process learned of it
+	lastUpdated   time.Time // time at which its latest part became known to this process
+	settled       bool      // settleTime has passed since it became known
+	parts         map[Part]bool
+	begunBefore   int // Tracker.begun at the crash
 }
 
 func (t *Tracker) historyOf(part Part) *history {
 	h := t.histories[part]
 	if h == nil {
 		if len(t.histories) >= maxHistories {
-			t.forgetOldest()
+			t.evictHistories()
 		}
 		h = &history{lastSeen: t.now()}
 		t.histories[part] = h
@@ -65,8 +65,8 @@
 	return h
 }
 
-// forgetOldest removes the quarter of the histories that were used least recently.
-func (t *Tracker) forgetOldest() {
+// evictHistories removes the quarter of the histories that were used least recently.
+func (t *Tracker) evictHistories() {
 	seen := make([]time.Time, 0, len(t.histories))
 	for _, h := range t.histories {
 		seen = append(seen, h.lastSeen)
@@ -90,8 +90,8 @@
 	}
 }
 
-// forgetRequests halves the numbers of requests after each requestHalfLife.
-func (t *Tracker) forgetRequests(now time.Time) {
+// decayRequestCounts halves the numbers of requests after each requestHalfLife.
+func (t *Tracker) decayRequestCounts(now time.Time) {
 	if now.Sub(t.halved) < requestHalfLife {
 		return
 	}
@@ -107,25 +107,25 @@
 	c := t.crashes[engine]
 	if c == nil {
 		if len(t.crashes) >= maxCrashes {
-			t.forgetCrash()
+			t.evictOldestCrash()
 		}
-		c = &crash{at: at, known: t.now(), parts: map[Part]bool{}, begunBefore: t.begun}
+		c = &crash{at: at, firstReported: t.now(), parts: map[Part]bool{}, begunBefore: t.begun}
 		t.crashes[engine] = c
 		t.unsettled++
 		t.notify(Event{Kind: EventCrash, Engine: engine.ID, Parts: parts})
 	}
 	for _, part := range parts {
 		if !c.parts[part] && len(c.parts) < maxPartsPerCrash {
-			t.noteCommon(part)
+			t.recordCommon(part)
 			c.parts[part] = true
-			c.learned = t.now()
+			c.lastUpdated = t.now()
 		}
 	}
 }
 
-// noteCommon records whether a part is common before the first crash under it since an answer with it has begun. Later, a
-// part that crashes engines may be in many requests.
-func (t *Tracker) noteCommon(part Part) {
+// recordCommon records whether a part is common before the first crash under it since an answer with it has begun.
+// Later, a part that crashes engines may be in many requests.
+func (t *Tracker) recordCommon(part Part) {
 	h := t.historyOf(part)
 	for _, c := range t.crashes {
 		if c.parts[part] && c.at.After(h.lastBegun) {
@@ -140,8 +140,8 @@
 	return h.requests > max(fewRequests, commonShare*t.requests)
 }
 
-// forgetCrash removes the oldest crash.
-func (t *Tracker) forgetCrash() {
+// evictOldestCrash removes the oldest crash.
+func (t *Tracker) evictOldestCrash() {
 	var oldest targetset.Incarnation
 	for engine, c := range t.crashes {
 		if old := t.crashes[oldest]; old == nil || c.at.Before(old.at) {
@@ -165,7 +165,7 @@
 	}
 	changed := false
 	for _, c := range t.crashes {
-		if !c.settled && now.Sub(c.known) >= settleTime {
+		if !c.settled && now.Sub(c.firstReported) >= settleTime {
 			c.settled = true
 			t.unsettled--
 			changed = true
@@ -189,19 +189,18 @@
 // explainedBetter reports whether another quarantined part is in all crashes under a part, and in more.
 func (t *Tracker) explainedBetter(part Part) bool {
 	for other := range t.quarantines {
-		own, with, without := 0, 0, 0
+		both, onlyPart, onlyOther := 0, 0, 0
 		for _, c := range t.crashes {
-			if c.parts[part] {
-				own++
-			}
-			if c.parts[part] && !c.parts[other] {
-				without++
-			}
-			if c.parts[other] && !c.parts[part] {
-				with++
+			switch hasPart, hasOther := c.parts[part], c.parts[other]; {
+			case hasPart && hasOther:
+				both++
+			case hasPart:
+				onlyPart++
+			case hasOther:
+				onlyOther++
 			}
 		}
-		if own > 0 && without == 0 && with > 0 {
+		if both > 0 && onlyPart == 0 && onlyOther > 0 {
 			return true
 		}
 	}
@@ -225,8 +224,8 @@
 	begunBefore int         // Tracker.begun at the first of them
 }
 
-// crashes returns the number of crashes that do not have a common cause, as far as their times show.
-func (s *suspect) crashes() int {
+// independentCrashes returns the number of crashes that do not have a common cause, as far as their times show.
+func (s *suspect) independentCrashes() int {
 	slices.SortFunc(s.at, time.Time.Compare)
 	n := 0
 	var last time.Time
@@ -266,11 +265,11 @@
 // suspects returns the parts that explain the most crashes, several of them at least, and whether that is enough for a
 // quarantine. Of parts that explain as many crashes, those with which no answer has begun for the longest time are
 // returned. Crashes that are not settled count only if recent is set.
-func (t *Tracker) suspects(recent bool) (best map[Part]bool, sure bool) {
+func (t *Tracker) suspects(recent bool) (best map[Part]bool, conclusive bool) {
 	most := 0
 	var oldest time.Time
 	for part, s := range t.unexplained(recent) {
-		n, begun := s.crashes(), t.historyOf(part).lastBegun
+		n, begun := s.independentCrashes(), t.historyOf(part).lastBegun
 		if n < crashesOfNewPart || n < most || !t.plausible(part, s) {
 			continue
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -214,8 +214,8 @@
 // caller holds the lock.
 func (t *Tracker) decide() {
 	for {
-		suspects, sure := t.suspects(false)
-		if !sure {
+		suspects, conclusive := t.suspects(false)
+		if !conclusive {
 			break
 		}
 		for part := range suspects {
@@ -249,7 +249,7 @@
 	now := t.now()
 	t.settle(now)
 	for engine, c := range t.crashes {
-		if now.Sub(c.at) > crashMemory {
+		if now.Sub(c.at) > crashRetention {
 			t.removeCrash(engine)
 		}
 	}
@@ -258,7 +258,7 @@
 			delete(t.quarantines, part) // no test of the part has had a result for so long
 		}
 	}
-	t.forgetRequests(now)
+	t.decayRequestCounts(now)
 }
 
 // Quarantined returns the number of quarantined parts.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -49,7 +49,7 @@
 	r, now := &Report{}, t.now()
 	begun := map[Part]bool{}
 	for engine, c := range t.crashes {
-		if now.Sub(c.learned) >= crashShareTime {
+		if now.Sub(c.lastUpdated) >= crashShareTime {
 			continue
 		}
 		out := CrashReport{Engine: engine, AgeMs: now.Sub(c.at).Milliseconds()}
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -16,7 +16,6 @@
 	rng      *rand.Rand
 	clock    *clock
 	entries  []*Tracker
-	keepers  []*Tracker   // of processes that see no requests
 	closed   [2]time.Time // groups are closed until then
 	started  int          // incarnations of engines
 	crashes  []time.Time
