--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -78,8 +78,8 @@
 	return classifyStreamError(ctx, io.ErrUnexpectedEOF)
 }
 
-// scanWholeLines splits a stream into lines. Unlike bufio.ScanLines it returns no line whose end is missing, which is a
-// part of an event.
+// scanWholeLines splits a stream into lines. Unlike bufio.ScanLines, it drops an unterminated last line, which is an
+// incomplete event.
 func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
 	if !bytes.ContainsRune(data, '\n') {
 		return 0, nil, nil
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,7 +26,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	ending := bodyEnding(resp.Framing, err)
 	if len(body) < maxBufferedBytes {
-		ending = x.checked(ending)
+		ending = x.checkCrash(ending)
 	}
 	if !ending.Complete() {
 		resp.Finish(false)
@@ -55,9 +55,10 @@
 	return r, nil
 }
 
-// checked returns the ending of an answer. One that ended only with its connection is incomplete if the target's process
-// has ended as well, unless it leaves: the operating system closes the connections of a process that crashes in order.
-func (x *exchange) checked(e Ending) Ending {
+// checkCrash returns the ending of an answer, given the one that its framing shows. An answer that ended only with its
+// connection is incomplete if the target's process has ended as well, unless the target leaves: the operating system
+// closes the connections of a process that crashes in order.
+func (x *exchange) checkCrash(e Ending) Ending {
 	if e != EndConnection || x.targetLeaves() || !x.g.Pool.Refused(x.ctx, x.lease.Target.Addr) {
 		return e
 	}
@@ -141,7 +142,7 @@
 		if resp.Framing != upstream.FramingLength && sent == maxUnframedBytes {
 			return BrokenEndless, errEndless
 		}
-		return x.checked(bodyEnding(resp.Framing, err)), err
+		return x.checkCrash(bodyEnding(resp.Framing, err)), err
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,7 +24,7 @@
 // attempt sends the request to one target. It reports whether another attempt has to follow; if not, the caller has its
 // final answer or has left.
 func (x *exchange) attempt() bool {
-	if x.quarantined() {
+	if x.refuseQuarantined() {
 		return false
 	}
 	list := x.g.Targets.Snapshot()
@@ -39,7 +39,7 @@
 		return false
 	}
 	x.lease = lease
-	if x.quarantined() { // while it waited for the place
+	if x.refuseQuarantined() { // a part may have been quarantined during the wait
 		lease.Done(balance.CallerLeft)
 		return false
 	}
@@ -47,7 +47,7 @@
 	started := time.Now()
 	result, err := x.send(lease)
 	lease.Done(result.leaseResult)
-	result.crashed = x.crashed(result)
+	result.crashed = x.recordCrash(result)
 	x.record.Attempts = append(x.record.Attempts, Attempt{Target: t.ID, Group: lease.Group(),
 		Started: started.Sub(x.record.Started), Took: time.Since(started), Result: result.name, Ending: result.ending,
 		Events: result.events, Err: err})
@@ -110,7 +110,7 @@
 	notRun      bool   // the request was not run and will not run
 	ending      Ending // of the target's answer; empty if it was not read to its end
 	events      int    // of the target's stream
-	crashed     bool   // the target has crashed before the answer had begun
+	crashed     bool   // the target crashed before the answer had begun
 }
 
 var (
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,8 +4,8 @@
 // under a prompt may still send the first one.
 const begunEvents = 2
 
-// quarantined reports whether the request must not reach an engine because of a part of its prompt, and answers it then.
-func (x *exchange) quarantined() bool {
+// refuseQuarantined refuses the request if a part of its prompt is quarantined or held off, and reports whether it did.
+func (x *exchange) refuseQuarantined() bool {
 	part, left := x.prompt.Blocked()
 	if part == "" {
 		return false
@@ -15,9 +15,9 @@
 	return true
 }
 
-// crashed reports whether the target of an attempt has crashed before its answer had begun, and records that for the parts
-// of the prompt.
-func (x *exchange) crashed(r result) bool {
+// recordCrash reports whether the target of an attempt has crashed before its answer had begun. If so, it records the
+// crash for the parts of the prompt.
+func (x *exchange) recordCrash(r result) bool {
 	if x.prompt == nil || r.events >= begunEvents || !r.ending.connectionLost() {
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,15 +28,13 @@
 	ending, err := s.passOn()
 	resp.Finish(ending.Complete())
 	r := resultServed
-	if !ending.Complete() {
-		_, inEvent := s.parser.rest()
-		x.eventBegun = x.eventBegun || inEvent
-	}
 	if ending.Complete() {
 		x.prompt.Begun()
 		r.ending = ending
 		x.record.setOutcome(OutcomeServed, "")
 	} else {
+		_, inEvent := s.parser.rest()
+		x.eventBegun = x.eventBegun || inEvent
 		r = x.brokenResult(ending)
 	}
 	r.events = s.events
@@ -157,7 +155,7 @@
 // an event, so that the caller gets the whole answer.
 func (s *targetStream) end(err error) Ending {
 	rest, inEvent := s.parser.rest()
-	ending := s.x.checked(s.ending(err, inEvent))
+	ending := s.x.checkCrash(s.ending(err, inEvent))
 	if ending.Complete() {
 		s.ready = append(s.ready, rest...)
 		if len(s.ready) > 0 || !s.x.headSent {
