gateway: tell crashes from planned stops, and answers that begin from failures

One method asks whether a target has crashed, for unframed answers and for prompts. TestWhatIsNoCrash covers the cases; the test of unfinished tests now asks for the pause as well, which is stricter.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -45,7 +45,7 @@
 		return x.passOnLarge(resp, body, r)
 	}
 	r.ending = ending
-	x.prompt.Begun()
+	x.noteBegun(resp)
 	resp.Finish(true)
 	x.copyHead(resp)
 	x.setLength(resp, int64(len(body)))
@@ -59,15 +59,18 @@
 // connection is incomplete if the target's process has ended as well, unless the target leaves: the operating system
 // closes the connections of a process that crashes in order.
 func (x *exchange) checkCrash(e Ending) Ending {
-	if e != EndConnection || x.targetLeaves() || !x.g.Pool.Refused(x.ctx, x.lease.Target.Addr) {
+	if e != EndConnection || !x.targetCrashed() {
 		return e
 	}
 	return BrokenCrash
 }
 
-// targetLeaves reports whether the target of the present attempt is leaving, so that its process may end at any time.
-func (x *exchange) targetLeaves() bool {
-	return x.g.Targets.IsLeaving(x.lease.Target.Incarnation())
+// noteBegun records that an answer that is no stream has begun. A failure may be of a target that has not come to the
+// prompt.
+func (x *exchange) noteBegun(resp *upstream.Response) {
+	if resp.Status < http.StatusMultipleChoices {
+		x.prompt.Begun()
+	}
 }
 
 // setLength sets the length of the caller's answer. An answer without a body keeps the length that its head states.
@@ -152,6 +155,7 @@
 // passOnLarge passes on an answer that exceeds the buffer. start is the part that has been read, and whole the result if
 // the answer is complete.
 func (x *exchange) passOnLarge(resp *upstream.Response, start []byte, whole result) (result, error) {
+	x.noteBegun(resp)
 	x.copyHead(resp)
 	if resp.Framing == upstream.FramingLength {
 		x.setLength(resp, resp.Length)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "context"
+
 // begunEvents is the number of events after which the answer of an engine has begun for certain. An engine that crashes
 // under a prompt may still send the first one.
 const begunEvents = 2
@@ -18,14 +20,20 @@
 // recordCrash reports whether the target of an attempt has crashed before its answer had begun. If so, it records the
 // crash for the parts of the prompt.
 func (x *exchange) recordCrash(r result) bool {
-	if x.prompt == nil || r.events >= begunEvents || !r.ending.connectionLost() {
+	if x.prompt == nil || x.prompt.HasBegun() || !r.ending.connectionLost() {
 		return false
 	}
-	t := x.lease.Target
-	if r.ending != BrokenCrash && !x.g.Pool.Refused(x.ctx, t.Addr) {
+	if r.ending != BrokenCrash && !x.targetCrashed() {
 		return false
 	}
-	x.prompt.Crashed(t.Incarnation())
+	x.prompt.Crashed(x.lease.Target.Incarnation())
 	x.record.Parts = x.call.PromptParts
 	return true
 }
+
+// targetCrashed reports whether the process of the present attempt's target has ended. One that is leaving may have
+// stopped as planned.
+func (x *exchange) targetCrashed() bool {
+	t := x.lease.Target
+	return !x.g.Targets.IsLeaving(t.Incarnation()) && x.g.Pool.Refused(context.WithoutCancel(x.ctx), t.Addr)
+}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 	"github.com/camphorbank/camphorbank/test/standin/target"
 )
@@ -124,3 +125,48 @@
 		}
 	}
 }
+
+// TestWhatIsNoCrash guards against a planned stop that counts as a crash under a prompt, against a failure that counts as
+// an answer which has begun, and against a large answer that does not.
+func TestWhatIsNoCrash(t *testing.T) {
+	prompt := []string{promptHeader, "aa01:40,bb02:9,cc:1"}
+	for name, c := range map[string]struct {
+		b       func(f *fixture) target.Behaviour
+		crashes int
+		begun   bool
+	}{
+		"crash": {func(f *fixture) target.Behaviour {
+			return func(net.Conn, target.Arrival) bool { f.first.Crash(); return false }
+		}, 1, false},
+		"planned stop": {func(f *fixture) target.Behaviour {
+			return func(net.Conn, target.Arrival) bool {
+				f.gateway.Targets.Announced(targetset.Incarnation{ID: "i-1"})
+				f.first.Crash()
+				return false
+			}
+		}, 0, false},
+		"reset":        {func(*fixture) target.Behaviour { return target.Reset() }, 0, false},
+		"failure":      {func(*fixture) target.Behaviour { return target.Answer(500, "") }, 0, false},
+		"refusal":      {func(*fixture) target.Behaviour { return target.Answer(400, "") }, 0, false},
+		"small answer": {func(*fixture) target.Behaviour { return target.Answer(200, "ok") }, 0, true},
+		"large answer": {func(*fixture) target.Behaviour { return target.Answer(200, strings.Repeat("x", 300<<10)) }, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, target.Reset(), target.Reset())
+			f.first.SetBehaviour(c.b(f))
+			crashes := 0
+			f.gateway.Quarantine.Notify = func(e quarantine.Event) {
+				if e.Kind == quarantine.EventCrash {
+					crashes++
+				}
+			}
+			f.do("POST", "/unsafe/x", "prompt", prompt...)
+			if crashes != c.crashes {
+				t.Errorf("%d crashes, want %d", crashes, c.crashes)
+			}
+			if begun := f.gateway.Quarantine.Answers() == 1; begun != c.begun {
+				t.Errorf("the answer has begun: %v, want %v", begun, c.begun)
+			}
+		})
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,6 +29,10 @@
 	// testSpread is the share of a quarantine over which entries spread their first request after it, so that one of them
 	// learns the result before the others send theirs.
 	testSpread = 0.5
+	// testPauseShare is the share of a quarantine, as a divisor, after which a test that ended without a result is
+	// repeated, and testTime the time after which a caller that is refused during a test may return.
+	testPauseShare = 10
+	testTime       = 2 * time.Second
 )
 
 // Tracker collects evidence on parts of prompts and quarantines those that crash engines. It is safe for concurrent use.
@@ -106,7 +110,7 @@
 			return part, q.testAfter.Sub(now)
 		}
 		if q.testing != nil {
-			return part, q.duration
+			return part, testTime
 		}
 	}
 	p.startTests()
@@ -154,6 +158,9 @@
 	}
 }
 
+// HasBegun reports whether an answer to the request has begun.
+func (p *Prompt) HasBegun() bool { return p != nil && p.begun }
+
 // partBegun records that an answer with the part began at a time, and ends a quarantine that was imposed before. The
 // caller holds the lock.
 func (t *Tracker) partBegun(part Part, at time.Time) {
@@ -206,6 +213,7 @@
 	for _, part := range p.tests {
 		if q := t.quarantines[part]; q != nil && q.testing == p {
 			q.testing = nil
+			q.testAfter = t.now().Add(q.duration / testPauseShare)
 		}
 	}
 }
@@ -267,3 +275,10 @@
 	defer t.mu.Unlock()
 	return len(t.quarantines)
 }
+
+// Answers returns the number of requests whose answers have begun.
+func (t *Tracker) Answers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.begun
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -213,6 +213,10 @@
 	first := tr.Prompt([]Part{"bad"})
 	first.Blocked()
 	first.Done()
+	if !isBlocked(tr, "bad") {
+		t.Error("the next request tests the part at once")
+	}
+	c.advance(firstQuarantine / testPauseShare)
 	if isBlocked(tr, "bad") {
 		t.Error("no other request tests the part")
 	}
