quarantine: bounded evidence that is exchanged once

A full store replaces old crashes only, a full crash the parts that have been in answers, late parts open a crash again, and reports are bounded. TestManyCrashesAreExchangedOnce, TestCauseInAFullCrash, TestLateEvidence and TestReportIsBounded: the last three failed before, all pass.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -26,7 +26,10 @@
 	settleTime = 500 * time.Millisecond
 	// crashRetention is the time for which a crash counts.
 	crashRetention = 30 * time.Minute
-	maxCrashes     = 64
+	// maxCrashes bounds the crashes that are stored. When it is reached, a crash replaces only one that is older by
+	// replaceAge, since entries would otherwise send each other replaced ones again and again.
+	maxCrashes = 64
+	replaceAge = time.Minute
 	// maxPartsPerCrash bounds the parts that are stored for a crash.
 	maxPartsPerCrash = 64
 	// maxHistories bounds the parts that are remembered.
@@ -106,8 +109,8 @@
 func (t *Tracker) addCrash(engine targetset.Incarnation, parts []Part, at time.Time) {
 	c := t.crashes[engine]
 	if c == nil {
-		if len(t.crashes) >= maxCrashes {
-			t.evictOldestCrash()
+		if len(t.crashes) >= maxCrashes && !t.replaceCrash(at) || t.now().Sub(at) > crashRetention {
+			return
 		}
 		c = &crash{at: at, firstReported: t.now(), parts: map[Part]bool{}, begunBefore: t.begun}
 		t.crashes[engine] = c
@@ -115,12 +118,30 @@
 		t.notify(Event{Kind: EventCrash, Engine: engine.ID, Parts: parts})
 	}
 	for _, part := range parts {
-		if !c.parts[part] && len(c.parts) < maxPartsPerCrash {
-			t.recordCommon(part)
-			c.parts[part] = true
-			c.lastUpdated = t.now()
+		if c.parts[part] || len(c.parts) >= maxPartsPerCrash && !t.replacePart(c, part) {
+			continue
+		}
+		t.recordCommon(part)
+		c.parts[part] = true
+		c.lastUpdated = t.now()
+		if c.settled { // the late part may be the cause
+			c.settled, c.firstReported = false, t.now()
+			t.unsettled++
+		}
+	}
+}
+
+// replacePart makes room for a part in a full crash, in place of one with which an answer has begun later. It reports
+// whether there is one.
+func (t *Tracker) replacePart(c *crash, part Part) bool {
+	latest, at := Part(""), t.historyOf(part).lastBegun
+	for other := range c.parts {
+		if begun := t.historyOf(other).lastBegun; begun.After(at) {
+			latest, at = other, begun
 		}
 	}
+	delete(c.parts, latest)
+	return latest != ""
 }
 
 // recordCommon records whether a part is common before the first crash under it since an answer with it has begun.
@@ -140,15 +161,19 @@
 	return h.requests > max(fewRequests, commonShare*t.requests)
 }
 
-// evictOldestCrash removes the oldest crash.
-func (t *Tracker) evictOldestCrash() {
+// replaceCrash makes room for a crash at a time if the oldest one is older by replaceAge, and reports whether it did.
+func (t *Tracker) replaceCrash(at time.Time) bool {
 	var oldest targetset.Incarnation
 	for engine, c := range t.crashes {
 		if old := t.crashes[oldest]; old == nil || c.at.Before(old.at) {
 			oldest = engine
 		}
 	}
+	if at.Sub(t.crashes[oldest].at) < replaceAge {
+		return false
+	}
 	t.removeCrash(oldest)
+	return true
 }
 
 func (t *Tracker) removeCrash(engine targetset.Incarnation) {
--- /dev/null
+++ b/internal/quarantine/exchange_test.go
@@ -0,0 +1,109 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
+
+// exchangeAll lets all entries exchange reports with each other several times.
+func exchangeAll(c *clock, times int, entries ...*Tracker) {
+	for range times {
+		for i, a := range entries {
+			for _, b := range entries[i+1:] {
+				fromA := a.Report()
+				a.Merge(b.Report())
+				b.Merge(fromA)
+			}
+		}
+		c.advance(exchangeTime)
+	}
+}
+
+// TestManyCrashesAreExchangedOnce guards against entries that send each other crashes again and again because they store
+// fewer than there are.
+func TestManyCrashesAreExchangedOnce(t *testing.T) {
+	c := newClock()
+	events := 0
+	var entries []*Tracker
+	for range 4 {
+		e := New(c.now)
+		e.Notify = func(Event) { events++ }
+		entries = append(entries, e)
+	}
+	for n := range 3 * maxCrashes / 2 {
+		p := entries[n%len(entries)].Prompt([]Part{"kind", Part(fmt.Sprintf("p-%d", n))})
+		p.Crashed(engine(n))
+		c.advance(time.Millisecond)
+	}
+	exchangeAll(c, 20, entries...)
+	before := events
+	exchangeAll(c, 20, entries...)
+	if events > before {
+		t.Errorf("%d more events while nothing happens", events-before)
+	}
+}
+
+// TestCauseInAFullCrash guards against a cause that is not recorded because other parts fill the record of the crash.
+func TestCauseInAFullCrash(t *testing.T) {
+	c := newClock()
+	tr := New(c.now)
+	begin(tr, c, 100, "kind")
+	for n := range 3 {
+		for i := range maxPartsPerCrash {
+			part := Part(fmt.Sprintf("used-%d", i))
+			begin(tr, c, 1, "kind", part)
+			p := tr.Prompt([]Part{"kind", part})
+			p.Crashed(engine(n))
+			p.Done()
+		}
+		crashUnder(tr, c, n, "kind", "bad")
+	}
+	c.advance(settleTime)
+	if !isBlocked(tr, "bad") {
+		t.Error("the cause is not quarantined")
+	}
+}
+
+// TestLateEvidence guards against the cause of a crash that arrives from a peer after the crash was decided on, and is
+// never considered.
+func TestLateEvidence(t *testing.T) {
+	c := newClock()
+	a, b := New(c.now), New(c.now)
+	begin(a, c, 100, "kind")
+	for n := range 2 {
+		pa, pb := a.Prompt([]Part{"kind"}), b.Prompt([]Part{"kind", "bad"})
+		pa.Crashed(engine(n))
+		pb.Crashed(engine(n))
+		c.advance(2 * settleTime)
+		a.Sweep()
+		a.Merge(b.Report())
+	}
+	c.advance(settleTime)
+	if !isBlocked(a, "bad") {
+		t.Error("the part is not quarantined after two crashes")
+	}
+}
+
+// TestReportIsBounded guards against heartbeats that exceed the size of a message when engines crash under requests with
+// many parts.
+func TestReportIsBounded(t *testing.T) {
+	const maxReportBytes = 64 << 10
+	c := newClock()
+	tr := New(c.now)
+	for n := range maxCrashes {
+		var parts []Part
+		for i := range maxPartsPerCrash {
+			parts = append(parts, Part(fmt.Sprintf("%064x", n*maxPartsPerCrash+i)))
+		}
+		p := tr.Prompt(parts)
+		p.Crashed(targetset.Incarnation{ID: fmt.Sprintf("i-%032x", n), StartedAtMs: 1})
+	}
+	data, err := json.Marshal(tr.Report())
+	if err != nil || len(data) > maxReportBytes {
+		t.Errorf("%d bytes, want at most %d; %v", len(data), maxReportBytes, err)
+	}
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -10,6 +12,12 @@
 // parts.
 const crashShareTime = 3 * time.Second
 
+const (
+	// maxReportedParts and maxReportedCrashes bound the size of a report.
+	maxReportedParts   = 16
+	maxReportedCrashes = 32
+)
+
 // Report is the evidence that entries send each other. Clocks differ between processes, so that it states ages.
 type Report struct {
 	Crashes     []CrashReport      `json:"c,omitempty"`
@@ -49,12 +57,11 @@
 	r, now := &Report{}, t.now()
 	begun := map[Part]bool{}
 	for engine, c := range t.crashes {
-		if now.Sub(c.lastUpdated) >= crashShareTime {
+		if now.Sub(c.lastUpdated) >= crashShareTime || len(r.Crashes) == maxReportedCrashes {
 			continue
 		}
-		out := CrashReport{Engine: engine, AgeMs: now.Sub(c.at).Milliseconds()}
-		for part := range c.parts {
-			out.Parts = append(out.Parts, part)
+		out := CrashReport{Engine: engine, AgeMs: now.Sub(c.at).Milliseconds(), Parts: t.reportedParts(c)}
+		for _, part := range out.Parts {
 			begun[part] = true
 		}
 		r.Crashes = append(r.Crashes, out)
@@ -71,6 +78,14 @@
 	return r
 }
 
+// reportedParts returns the parts of a crash that are most likely its cause: those with which no answer has begun for the
+// longest time.
+func (t *Tracker) reportedParts(c *crash) []Part {
+	parts := slices.Collect(maps.Keys(c.parts))
+	slices.SortFunc(parts, func(a, b Part) int { return t.historyOf(a).lastBegun.Compare(t.historyOf(b).lastBegun) })
+	return parts[:min(len(parts), maxReportedParts)]
+}
+
 // Merge adds the evidence of a peer.
 func (t *Tracker) Merge(r *Report) {
 	if r == nil {
