quarantine: entries agree on quarantines, their tests and their ends

A quarantine has an origin now, which tests the part; others do so only when it has not for as long again. Released parts are reported for 15 s, an entry keeps what it can explain better, and reported times are taken back by the longest transit.

TestReleaseOutlastsReports and TestAnswersBeforeACrashStayBefore fail without the change and pass with it.

--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -107,3 +107,50 @@
 		t.Errorf("%d bytes, want at most %d; %v", len(data), maxReportBytes, err)
 	}
 }
+
+// TestReleaseOutlastsReports guards against a part that one entry has released since another part explains the crashes
+// better, and that is quarantined again because a peer has not decided yet.
+func TestReleaseOutlastsReports(t *testing.T) {
+	c := newClock()
+	a, b := New(c.now), New(c.now)
+	begin(a, c, 100, "kind")
+	begin(b, c, 100, "kind")
+	for n := range 3 {
+		crashUnder(a, c, n, "bad", "subject")
+	}
+	exchangeAll(c, 5, a, b)
+	crashUnder(a, c, 3, "bad")
+	c.advance(settleTime)
+	a.Sweep()
+	exchangeAll(c, 5, a, b)
+	b.Sweep()
+	exchangeAll(c, 5, a, b)
+	for _, e := range []*Tracker{a, b} {
+		if !isBlocked(e, "bad") || isBlocked(e, "subject") {
+			t.Errorf("bad is blocked: %v, subject is blocked: %v", isBlocked(e, "bad"), isBlocked(e, "subject"))
+		}
+	}
+}
+
+// TestAnswersBeforeACrashStayBefore guards against answers that began before a crash and count as later ones after some
+// exchanges, so that the cause is never found.
+func TestAnswersBeforeACrashStayBefore(t *testing.T) {
+	const transit = 5 * time.Millisecond
+	c := newClock()
+	a, b := New(c.now), New(c.now)
+	begin(a, c, 100, "kind")
+	begin(a, c, 1, "bad")
+	crashUnder(a, c, 1, "bad")
+	at := a.crashes[engine(1)].at
+	for range 200 {
+		fromA, fromB := a.Report(), b.Report()
+		c.advance(transit)
+		a.Merge(fromB)
+		b.Merge(fromA)
+	}
+	for _, e := range []*Tracker{a, b} {
+		if last := e.historyOf("bad").lastBegun; last.After(at) {
+			t.Errorf("the last answer counts as %v after the crash", last.Sub(at))
+		}
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -26,8 +26,8 @@
 	// under the part again, up to maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = time.Hour
-	// testSpread is the share of a quarantine over which entries spread their first request after it, so that one of them
-	// learns the result before the others send theirs.
+	// testSpread is the share of a quarantine over which entries spread their tests of a part whose origin does not test
+	// it, so that one of them learns the result before the others send theirs.
 	testSpread = 0.5
 	// testPauseShare is the share of a quarantine, as a divisor, after which a test that ended without a result is
 	// repeated, and testTime the time after which a caller that is refused during a test may return.
@@ -50,12 +50,15 @@
 	crashes     map[targetset.Incarnation]*crash
 	unsettled   int // number of crashes that are not settled
 	quarantines map[Part]*quarantine
+	released    map[Part]time.Time // times at which quarantines ended because an answer had begun
+	id          uint32             // distinguishes the entries that impose quarantines
 }
 
 // quarantine is the quarantine of a part. It remains after its end until an answer with the part has begun.
 type quarantine struct {
 	since, until time.Time
 	duration     time.Duration
+	origin       uint32 // Tracker.id of the entry that imposed it, which tests the part
 	// testAfter is the time from which this process sends a single request with the part to test it.
 	testAfter time.Time
 	testing   *Prompt // the request that tests the part; nil if none does
@@ -64,7 +67,7 @@
 // New returns a tracker. now is its clock.
 func New(now func() time.Time) *Tracker {
 	return &Tracker{now: now, histories: map[Part]*history{}, halved: now(), crashes: map[targetset.Incarnation]*crash{},
-		quarantines: map[Part]*quarantine{}}
+		quarantines: map[Part]*quarantine{}, released: map[Part]time.Time{}, id: rand.Uint32()}
 }
 
 // Prompt tracks the shared parts of the prompt of one request. A nil Prompt has no parts.
@@ -170,6 +173,7 @@
 	}
 	if q := t.quarantines[part]; q != nil && at.After(q.since) {
 		delete(t.quarantines, part)
+		t.released[part] = t.now()
 		t.notify(Event{Kind: EventReleased, Part: part})
 	}
 }
@@ -241,13 +245,18 @@
 // impose quarantines a part. The caller holds the lock.
 func (t *Tracker) impose(part Part, d time.Duration) {
 	now := t.now()
-	t.quarantines[part] = newQuarantine(now, now.Add(d), d)
+	t.quarantines[part] = t.newQuarantine(now, now.Add(d), d, t.id)
 	t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: d})
 }
 
-func newQuarantine(since, until time.Time, d time.Duration) *quarantine {
-	spread := time.Duration(testSpread * rand.Float64() * float64(d))
-	return &quarantine{since: since, until: until, duration: d, testAfter: until.Add(spread)}
+// newQuarantine returns a quarantine. Its origin tests the part at its end; the other entries do so only if the origin has
+// not for as long again, since it may have ended.
+func (t *Tracker) newQuarantine(since, until time.Time, d time.Duration, origin uint32) *quarantine {
+	q := &quarantine{since: since, until: until, duration: d, origin: origin, testAfter: until}
+	if origin != t.id {
+		q.testAfter = until.Add(d + time.Duration(testSpread*rand.Float64()*float64(d)))
+	}
+	return q
 }
 
 // Sweep removes crashes and quarantines that are too old to count.
@@ -266,6 +275,11 @@
 			delete(t.quarantines, part) // no test of the part has had a result for so long
 		}
 	}
+	for part, at := range t.released {
+		if now.Sub(at) > releaseShareTime {
+			delete(t.released, part)
+		}
+	}
 	t.decayRequestCounts(now)
 }
 
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -12,6 +12,14 @@
 // parts.
 const crashShareTime = 3 * time.Second
 
+const (
+	// releaseShareTime is the time for which the end of a quarantine is sent to peers.
+	releaseShareTime = 15 * time.Second
+	// maxTransitTime is longer than a report takes to arrive. Times at which answers began are taken back by it, as they
+	// would become later with each exchange otherwise, and pass a crash that they preceded.
+	maxTransitTime = time.Second
+)
+
 const (
 	// maxReportedParts and maxReportedCrashes bound the size of a report.
 	maxReportedParts   = 16
@@ -32,7 +40,8 @@
 	Parts  []Part                `json:"p"`
 }
 
-// BegunReport states how long ago an answer with a part of a reported crash began last.
+// BegunReport states how long ago an answer with a part last began. It is sent for parts of reported crashes and for those
+// whose quarantines have ended.
 type BegunReport struct {
 	Part  Part  `json:"p"`
 	AgeMs int64 `json:"a"`
@@ -40,10 +49,11 @@
 
 // QuarantineReport is one quarantined part.
 type QuarantineReport struct {
-	Part       Part  `json:"p"`
-	AgeMs      int64 `json:"a"`
-	LeftMs     int64 `json:"l"` // negative if it has ended and the part awaits a test
-	DurationMs int64 `json:"d"`
+	Part       Part   `json:"p"`
+	AgeMs      int64  `json:"a"`
+	LeftMs     int64  `json:"l"` // negative if it has ended and the part awaits a test
+	DurationMs int64  `json:"d"`
+	Origin     uint32 `json:"o"` // identifies the entry that tests the part
 }
 
 // Report returns the crashes of which this process learned recently and all quarantines. It returns nil if no crash and
@@ -51,7 +61,7 @@
 func (t *Tracker) Report() *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.crashes) == 0 && len(t.quarantines) == 0 {
+	if len(t.crashes)+len(t.quarantines)+len(t.released) == 0 {
 		return nil
 	}
 	r, now := &Report{}, t.now()
@@ -66,6 +76,9 @@
 		}
 		r.Crashes = append(r.Crashes, out)
 	}
+	for part := range t.released {
+		begun[part] = true
+	}
 	for part := range begun {
 		if at := t.historyOf(part).lastBegun; !at.IsZero() {
 			r.Begun = append(r.Begun, BegunReport{Part: part, AgeMs: now.Sub(at).Milliseconds()})
@@ -73,7 +86,7 @@
 	}
 	for part, q := range t.quarantines {
 		r.Quarantines = append(r.Quarantines, QuarantineReport{Part: part, AgeMs: now.Sub(q.since).Milliseconds(),
-			LeftMs: q.until.Sub(now).Milliseconds(), DurationMs: q.duration.Milliseconds()})
+			LeftMs: q.until.Sub(now).Milliseconds(), DurationMs: q.duration.Milliseconds(), Origin: q.origin})
 	}
 	return r
 }
@@ -96,27 +109,33 @@
 	now := t.now()
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, b := range r.Begun {
-		t.partBegun(b.Part, ago(b.AgeMs))
+		t.partBegun(b.Part, ago(b.AgeMs).Add(-maxTransitTime))
 	}
 	for _, c := range r.Crashes {
 		t.addCrash(c.Engine, c.Parts, ago(c.AgeMs))
 	}
 	for _, q := range r.Quarantines {
-		t.adopt(q.Part, newQuarantine(ago(q.AgeMs), ago(-q.LeftMs), time.Duration(q.DurationMs)*time.Millisecond))
+		t.adopt(q.Part, t.newQuarantine(ago(q.AgeMs), ago(-q.LeftMs), time.Duration(q.DurationMs)*time.Millisecond, q.Origin))
 	}
 	t.settle(now)
 }
 
-// adopt puts the quarantine of a peer in force unless it is known or an answer has begun since. The caller holds the
-// lock.
+// adopt puts the quarantine of a peer in force, unless a longer one is known, an answer has begun since, or another part
+// explains the crashes better. Of quarantines of the same length, all entries take the one with the lowest origin, so that
+// one entry tests the part. The caller holds the lock.
 func (t *Tracker) adopt(part Part, q *quarantine) {
 	if t.historyOf(part).lastBegun.After(q.since) {
 		return
 	}
 	known := t.quarantines[part]
-	if known != nil && known.duration >= q.duration {
+	if known != nil && (known.duration > q.duration || known.duration == q.duration && known.origin <= q.origin) {
 		return
 	}
 	t.quarantines[part] = q
-	t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: q.duration})
+	switch {
+	case t.explainedBetter(part):
+		delete(t.quarantines, part)
+	case known == nil || known.duration < q.duration:
+		t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: q.duration})
+	}
 }
