quarantine: compare crashes with answers of the same service

The part that all requests of a service have was quarantined when a group of that service lost its ranks one after the other, since answers of another service counted as proof. Counts are kept by service now.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -189,7 +189,7 @@
 	if x.route.Resumable {
 		x.lastEventID = x.call.ResumeAfter
 	}
-	x.prompt = x.g.Quarantine.Prompt(x.call.PromptParts)
+	x.prompt = x.g.Quarantine.Prompt(x.service, x.call.PromptParts)
 	defer x.prompt.Done()
 	x.g.Retries.CountRequest(x.service)
 	for x.attempt() {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -38,6 +38,22 @@
 	requestHalfLife = time.Minute
 )
 
+// serviceCounts counts the requests of one service that state their prompts.
+type serviceCounts struct {
+	requests float64 // older ones counted less
+	answers  int     // that have begun
+}
+
+// serviceOf returns the counts of a service.
+func (t *Tracker) serviceOf(service string) *serviceCounts {
+	s := t.services[service]
+	if s == nil {
+		s = &serviceCounts{}
+		t.services[service] = s
+	}
+	return s
+}
+
 // history is what is known about the requests with one part.
 type history struct {
 	requests  float64 // number of requests, older ones counted less
@@ -53,7 +69,8 @@
 	lastUpdated   time.Time // time at which its latest part became known to this process
 	settled       bool      // settleTime has passed since it became known
 	parts         map[Part]bool
-	begunBefore   int // Tracker.begun at the crash
+	service       string
+	answersBefore int // that had begun in the service when this process learned of the crash
 }
 
 func (t *Tracker) historyOf(part Part) *history {
@@ -84,8 +101,8 @@
 }
 
 // countRequest counts a request with the parts.
-func (t *Tracker) countRequest(parts []Part) {
-	t.requests++
+func (t *Tracker) countRequest(service string, parts []Part) {
+	t.serviceOf(service).requests++
 	for _, part := range parts {
 		h := t.historyOf(part)
 		h.requests++
@@ -99,20 +116,23 @@
 		return
 	}
 	t.halved = now
-	t.requests /= 2
+	for _, s := range t.services {
+		s.requests /= 2
+	}
 	for _, h := range t.histories {
 		h.requests /= 2
 	}
 }
 
 // addCrash adds parts to the crash of an engine.
-func (t *Tracker) addCrash(engine targetset.Incarnation, parts []Part, at time.Time) {
+func (t *Tracker) addCrash(engine targetset.Incarnation, service string, parts []Part, at time.Time) {
 	c := t.crashes[engine]
 	if c == nil {
 		if len(t.crashes) >= maxCrashes && !t.replaceCrash(at) || t.now().Sub(at) > crashRetention {
 			return
 		}
-		c = &crash{at: at, firstReported: t.now(), parts: map[Part]bool{}, begunBefore: t.begun}
+		c = &crash{at: at, firstReported: t.now(), parts: map[Part]bool{}, service: service,
+			answersBefore: t.serviceOf(service).answers}
 		t.crashes[engine] = c
 		t.unsettled++
 		t.notify(Event{Kind: EventCrash, Engine: engine.ID, Parts: parts})
@@ -121,7 +141,7 @@
 		if c.parts[part] || len(c.parts) >= maxPartsPerCrash && !t.replacePart(c, part) {
 			continue
 		}
-		t.recordCommon(part)
+		t.recordCommon(service, part)
 		c.parts[part] = true
 		c.lastUpdated = t.now()
 		if c.settled { // the late part may be the cause
@@ -146,19 +166,19 @@
 
 // recordCommon records whether a part is common before the first crash under it since an answer with it has begun.
 // Later, a part that crashes engines may be in many requests.
-func (t *Tracker) recordCommon(part Part) {
+func (t *Tracker) recordCommon(service string, part Part) {
 	h := t.historyOf(part)
 	for _, c := range t.crashes {
 		if c.parts[part] && c.at.After(h.lastBegun) {
 			return
 		}
 	}
-	h.common = t.isCommon(h)
+	h.common = t.isCommon(service, h)
 }
 
-// isCommon reports whether many of the requests so far had the part.
-func (t *Tracker) isCommon(h *history) bool {
-	return h.requests > max(fewRequests, commonShare*t.requests)
+// isCommon reports whether many of the requests of a service so far had the part.
+func (t *Tracker) isCommon(service string, h *history) bool {
+	return h.requests > max(fewRequests, commonShare*t.serviceOf(service).requests)
 }
 
 // replaceCrash makes room for a crash at a time if the oldest one is older by replaceAge, and reports whether it did.
@@ -245,8 +265,9 @@
 
 // suspect is a part that may explain crashes.
 type suspect struct {
-	at          []time.Time // of the crashes that nothing else explains, since an answer with the part began last
-	begunBefore int         // Tracker.begun at the first of them
+	at      []time.Time // of the crashes that nothing else explains, since an answer with the part began last
+	service string      // of one of them
+	answers int         // that have begun in the service since the first of them
 }
 
 // independentCrashes returns the number of crashes that do not have a common cause, as far as their times show.
@@ -277,10 +298,10 @@
 			}
 			s := found[part]
 			if s == nil {
-				s = &suspect{begunBefore: c.begunBefore}
+				s = &suspect{service: c.service}
 				found[part] = s
 			}
-			s.begunBefore = min(s.begunBefore, c.begunBefore)
+			s.answers = max(s.answers, t.serviceOf(c.service).answers-c.answersBefore)
 			s.at = append(s.at, c.at)
 		}
 	}
@@ -292,6 +313,7 @@
 // returned. Crashes that are not settled count only if recent is set.
 func (t *Tracker) suspects(recent bool) (best map[Part]bool, conclusive bool) {
 	most := 0
+	service := ""
 	var oldest time.Time
 	for part, s := range t.unexplained(recent) {
 		n, begun := s.independentCrashes(), t.historyOf(part).lastBegun
@@ -300,23 +322,23 @@
 		}
 		switch {
 		case n > most || begun.Before(oldest):
-			best, most, oldest = map[Part]bool{part: true}, n, begun
+			best, most, oldest, service = map[Part]bool{part: true}, n, begun, s.service
 		case begun.Equal(oldest):
 			best[part] = true
 		}
 	}
-	isNew := oldest.IsZero() && t.begun >= baselineAnswers
+	isNew := oldest.IsZero() && t.serviceOf(service).answers >= baselineAnswers
 	return best, most >= crashesOfUsedPart || isNew && len(best) == 1
 }
 
 // plausible reports whether a part may be the cause of crashes. One that is common is in the requests of every crash,
-// and one with which answers have begun has not crashed engines before. Answers that begin without it while none does
-// with it must show that it does now.
+// and one with which answers have begun has not crashed engines before. Answers of the service that begin without it while
+// none does with it must show that it does now.
 func (t *Tracker) plausible(part Part, s *suspect) bool {
 	h := t.historyOf(part)
-	common := h.common || t.begun < baselineAnswers && t.isCommon(h)
+	common := h.common || t.serviceOf(s.service).answers < baselineAnswers && t.isCommon(s.service, h)
 	if h.lastBegun.IsZero() && !common {
 		return true
 	}
-	return t.begun-s.begunBefore >= baselineAnswers
+	return s.answers >= baselineAnswers
 }
--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -35,7 +35,7 @@
 		entries = append(entries, e)
 	}
 	for n := range 3 * maxCrashes / 2 {
-		p := entries[n%len(entries)].Prompt([]Part{"kind", Part(fmt.Sprintf("p-%d", n))})
+		p := entries[n%len(entries)].Prompt(testService, []Part{"kind", Part(fmt.Sprintf("p-%d", n))})
 		p.Crashed(engine(n))
 		c.advance(time.Millisecond)
 	}
@@ -56,7 +56,7 @@
 		for i := range maxPartsPerCrash {
 			part := Part(fmt.Sprintf("used-%d", i))
 			begin(tr, c, 1, "kind", part)
-			p := tr.Prompt([]Part{"kind", part})
+			p := tr.Prompt(testService, []Part{"kind", part})
 			p.Crashed(engine(n))
 			p.Done()
 		}
@@ -75,7 +75,7 @@
 	a, b := New(c.now), New(c.now)
 	begin(a, c, 100, "kind")
 	for n := range 2 {
-		pa, pb := a.Prompt([]Part{"kind"}), b.Prompt([]Part{"kind", "bad"})
+		pa, pb := a.Prompt(testService, []Part{"kind"}), b.Prompt(testService, []Part{"kind", "bad"})
 		pa.Crashed(engine(n))
 		pb.Crashed(engine(n))
 		c.advance(2 * settleTime)
@@ -99,7 +99,7 @@
 		for i := range maxPartsPerCrash {
 			parts = append(parts, Part(fmt.Sprintf("%064x", n*maxPartsPerCrash+i)))
 		}
-		p := tr.Prompt(parts)
+		p := tr.Prompt(testService, parts)
 		p.Crashed(targetset.Incarnation{ID: fmt.Sprintf("i-%032x", n), StartedAtMs: 1})
 	}
 	data, err := json.Marshal(tr.Report())
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -44,8 +44,7 @@
 	mu          sync.Mutex
 	now         func() time.Time
 	histories   map[Part]*history
-	requests    float64 // number of requests with a prompt, older ones counted less
-	begun       int     // number of requests whose answers have begun
+	services    map[string]*serviceCounts
 	halved      time.Time
 	crashes     map[targetset.Incarnation]*crash
 	unsettled   int // number of crashes that are not settled
@@ -66,28 +65,29 @@
 
 // New returns a tracker. now is its clock.
 func New(now func() time.Time) *Tracker {
-	return &Tracker{now: now, histories: map[Part]*history{}, halved: now(), crashes: map[targetset.Incarnation]*crash{},
+	return &Tracker{now: now, services: map[string]*serviceCounts{}, histories: map[Part]*history{}, halved: now(), crashes: map[targetset.Incarnation]*crash{},
 		quarantines: map[Part]*quarantine{}, released: map[Part]time.Time{}, id: rand.Uint32()}
 }
 
 // Prompt tracks the shared parts of the prompt of one request. A nil Prompt has no parts.
 type Prompt struct {
 	tracker *Tracker
+	service string
 	parts   []Part
 	begun   bool
 	tests   []Part // quarantined parts that the request tests
 }
 
-// Prompt returns the prompt of a request with the shared parts, or nil if there are none. Done must be called when the
+// Prompt returns the prompt of a request to a service with the shared parts, or nil if there are none. Done must be called when the
 // request has ended. A nil tracker tracks nothing.
-func (t *Tracker) Prompt(parts []Part) *Prompt {
+func (t *Tracker) Prompt(service string, parts []Part) *Prompt {
 	if t == nil || len(parts) == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.countRequest(parts)
-	return &Prompt{tracker: t, parts: parts}
+	t.countRequest(service, parts)
+	return &Prompt{tracker: t, service: service, parts: parts}
 }
 
 // Blocked returns the part that keeps the request from engines, since it is quarantined or held off, and the time until
@@ -154,7 +154,7 @@
 	t := p.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.begun++
+	t.serviceOf(p.service).answers++
 	now := t.now()
 	for _, part := range p.parts {
 		t.partBegun(part, now)
@@ -186,7 +186,7 @@
 	t := p.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addCrash(engine, p.parts, t.now())
+	t.addCrash(engine, p.service, p.parts, t.now())
 	for _, part := range p.tests {
 		if q := t.quarantines[part]; q != nil && q.testing == p {
 			t.impose(part, min(maxQuarantine, 2*q.duration))
@@ -294,5 +294,9 @@
 func (t *Tracker) Answers() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.begun
+	n := 0
+	for _, s := range t.services {
+		n += s.answers
+	}
+	return n
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -9,6 +9,8 @@
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
 
+const testService = "drafts"
+
 // clock is a settable clock.
 type clock struct{ t time.Time }
 
@@ -24,7 +26,7 @@
 // begin records sound requests with the parts, each of which begins.
 func begin(t *Tracker, c *clock, n int, parts ...Part) {
 	for range n {
-		p := t.Prompt(parts)
+		p := t.Prompt(testService, parts)
 		p.Begun()
 		p.Done()
 		c.advance(10 * time.Millisecond)
@@ -33,7 +35,7 @@
 
 // crashUnder records a request with the parts under which an engine crashes.
 func crashUnder(t *Tracker, c *clock, n int, parts ...Part) {
-	p := t.Prompt(parts)
+	p := t.Prompt(testService, parts)
 	p.Crashed(engine(n))
 	p.Done()
 	c.advance(200 * time.Millisecond)
@@ -41,7 +43,7 @@
 
 // isBlocked reports whether a request with the parts is refused.
 func isBlocked(t *Tracker, parts ...Part) bool {
-	p := t.Prompt(parts)
+	p := t.Prompt(testService, parts)
 	defer p.Done()
 	part, _ := p.Blocked()
 	return part != ""
@@ -91,7 +93,7 @@
 			begin(tr, c, 3, "kind", "subject")
 			for n := range 5 {
 				for _, parts := range [][]Part{{"kind", "subject"}, {"kind", "new"}} {
-					p := tr.Prompt(parts)
+					p := tr.Prompt(testService, parts)
 					p.Crashed(engine(n))
 					p.Done()
 				}
@@ -143,7 +145,7 @@
 	c := newClock()
 	tr := New(c.now)
 	begin(tr, c, 100, "kind")
-	p := tr.Prompt([]Part{"kind", "bad", "subject"})
+	p := tr.Prompt(testService, []Part{"kind", "bad", "subject"})
 	p.Crashed(engine(1))
 	if p.Suspected() {
 		t.Error("suspected after one crash, although an engine crashes under many requests that did not cause it")
@@ -153,7 +155,7 @@
 	if !p.Suspected() {
 		t.Error("not suspected after two crashes")
 	}
-	if sound := tr.Prompt([]Part{"kind"}); sound.Suspected() {
+	if sound := tr.Prompt(testService, []Part{"kind"}); sound.Suspected() {
 		t.Error("a request that shares only the part of all is suspected")
 	}
 }
@@ -166,15 +168,15 @@
 	begin(tr, c, 100, "kind")
 	crashUnder(tr, c, 1, "kind", "bad")
 	crashUnder(tr, c, 2, "kind", "bad")
-	if part, left := tr.Prompt([]Part{"bad"}).Blocked(); part != "bad" || left > settleTime {
+	if part, left := tr.Prompt(testService, []Part{"bad"}).Blocked(); part != "bad" || left > settleTime {
 		t.Errorf("%q is held off for %v before all is known about the crash", part, left)
 	}
 	c.advance(settleTime)
-	if _, left := tr.Prompt([]Part{"bad"}).Blocked(); left < firstQuarantine-time.Second || left > 2*firstQuarantine {
+	if _, left := tr.Prompt(testService, []Part{"bad"}).Blocked(); left < firstQuarantine-time.Second || left > 2*firstQuarantine {
 		t.Errorf("%v left", left)
 	}
 	c.advance(2 * firstQuarantine)
-	first, second := tr.Prompt([]Part{"kind", "bad"}), tr.Prompt([]Part{"bad"})
+	first, second := tr.Prompt(testService, []Part{"kind", "bad"}), tr.Prompt(testService, []Part{"bad"})
 	if part, _ := first.Blocked(); part != "" {
 		t.Fatal("no request tests the part after the quarantine")
 	}
@@ -190,7 +192,7 @@
 		t.Errorf("after another crash, %q is quarantined for %v, want twice as long as before", part, left)
 	}
 	c.advance(4 * firstQuarantine)
-	third := tr.Prompt([]Part{"bad"})
+	third := tr.Prompt(testService, []Part{"bad"})
 	third.Blocked()
 	third.Begun()
 	third.Done()
@@ -210,7 +212,7 @@
 	c.advance(settleTime)
 	tr.Sweep()
 	c.advance(2 * firstQuarantine)
-	first := tr.Prompt([]Part{"bad"})
+	first := tr.Prompt(testService, []Part{"bad"})
 	first.Blocked()
 	first.Done()
 	if !isBlocked(tr, "bad") {
@@ -247,7 +249,7 @@
 	c.advance(firstQuarantine + time.Second)
 	testing := 0
 	for _, e := range []*Tracker{a, b, restarted} {
-		if p := e.Prompt([]Part{"bad"}); !isBlocked(e, "bad") {
+		if p := e.Prompt(testService, []Part{"bad"}); !isBlocked(e, "bad") {
 			testing++
 			p.Blocked()
 		}
@@ -256,7 +258,7 @@
 		t.Errorf("%d entries test the part, want 1", testing)
 	}
 	c.advance(2 * firstQuarantine)
-	p := restarted.Prompt([]Part{"bad"})
+	p := restarted.Prompt(testService, []Part{"bad"})
 	p.Blocked()
 	p.Begun()
 	p.Done()
@@ -281,3 +283,32 @@
 		t.Errorf("%d parts and %d crashes are stored", len(tr.histories), len(tr.crashes))
 	}
 }
+
+// TestCrashesOfOneService guards against a quarantine of the part of all requests of a service whose group falls one rank
+// after the other, because another service goes on answering.
+func TestCrashesOfOneService(t *testing.T) {
+	c := newClock()
+	tr := New(c.now)
+	answer := func(service string, n int) {
+		for range n {
+			p := tr.Prompt(service, []Part{Part(service)})
+			p.Begun()
+			p.Done()
+			c.advance(time.Millisecond)
+		}
+	}
+	answer("x", 200)
+	answer("y", 200)
+	for n := range 5 {
+		p := tr.Prompt("x", []Part{"x"})
+		p.Crashed(engine(n))
+		p.Done()
+		c.advance(400 * time.Millisecond)
+		answer("y", 50)
+	}
+	c.advance(settleTime)
+	p := tr.Prompt("x", []Part{"x"})
+	if part, left := p.Blocked(); part != "" {
+		t.Errorf("all requests of the service are refused for %v", left)
+	}
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -35,9 +35,10 @@
 
 // CrashReport is one crash of an engine.
 type CrashReport struct {
-	Engine targetset.Incarnation `json:"e"`
-	AgeMs  int64                 `json:"a"`
-	Parts  []Part                `json:"p"`
+	Engine  targetset.Incarnation `json:"e"`
+	Service string                `json:"s"`
+	AgeMs   int64                 `json:"a"`
+	Parts   []Part                `json:"p"`
 }
 
 // BegunReport states how long ago an answer with a part last began. It is sent for parts of reported crashes and for those
@@ -70,7 +71,7 @@
 		if now.Sub(c.lastUpdated) >= crashShareTime || len(r.Crashes) == maxReportedCrashes {
 			continue
 		}
-		out := CrashReport{Engine: engine, AgeMs: now.Sub(c.at).Milliseconds(), Parts: t.reportedParts(c)}
+		out := CrashReport{Engine: engine, Service: c.service, AgeMs: now.Sub(c.at).Milliseconds(), Parts: t.reportedParts(c)}
 		for _, part := range out.Parts {
 			begun[part] = true
 		}
@@ -112,7 +113,7 @@
 		t.partBegun(b.Part, ago(b.AgeMs).Add(-maxTransitTime))
 	}
 	for _, c := range r.Crashes {
-		t.addCrash(c.Engine, c.Parts, ago(c.AgeMs))
+		t.addCrash(c.Engine, c.Service, c.Parts, ago(c.AgeMs))
 	}
 	for _, q := range r.Quarantines {
 		t.adopt(q.Part, t.newQuarantine(ago(q.AgeMs), ago(-q.LeftMs), time.Duration(q.DurationMs)*time.Millisecond, q.Origin))
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -67,7 +67,7 @@
 
 // send sends one request through any entry.
 func (s *storm) send(bad bool) {
-	p := s.entries[s.rng.IntN(len(s.entries))].Prompt(s.parts(bad))
+	p := s.entries[s.rng.IntN(len(s.entries))].Prompt(testService, s.parts(bad))
 	part, _ := p.Blocked()
 	group := s.rng.IntN(2)
 	open := !s.clock.now().Before(s.closed[group])
