--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -141,6 +141,7 @@
 		if c.parts[part] || len(c.parts) >= maxPartsPerCrash && !t.replacePart(c, part) {
 			continue
 		}
+		t.recent = recentSuspects{}
 		t.recordCommon(service, part)
 		c.parts[part] = true
 		c.lastUpdated = t.now()
@@ -331,6 +332,25 @@
 	return best, most >= crashesOfUsedPart || isNew && len(best) == 1
 }
 
+// recentSuspects keeps the suspects of all crashes, since each request needs them while a crash is not settled.
+type recentSuspects struct {
+	parts map[Part]bool
+	until time.Time // when they are worked out again
+}
+
+// suspectsMaxAge is the time for which suspects are kept if no crash becomes known. Meanwhile, answers may begin that clear
+// some of them.
+const suspectsMaxAge = 50 * time.Millisecond
+
+// recentSuspects returns the suspects of all crashes, also of those that are not settled.
+func (t *Tracker) recentSuspects() map[Part]bool {
+	if now := t.now(); !now.Before(t.recent.until) {
+		parts, _ := t.suspects(true)
+		t.recent = recentSuspects{parts, now.Add(suspectsMaxAge)}
+	}
+	return t.recent.parts
+}
+
 // plausible reports whether a part may be the cause of crashes. One that is common is in the requests of every crash,
 // and one with which answers have begun has not crashed engines before. Answers of the service that begin without it while
 // none does with it must show that it does now.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -48,6 +48,7 @@
 	halved      time.Time
 	crashes     map[targetset.Incarnation]*crash
 	unsettled   int // number of crashes that are not settled
+	recent      recentSuspects
 	quarantines map[Part]*quarantine
 	released    map[Part]time.Time // times at which quarantines ended because an answer had begun
 	id          uint32             // distinguishes the entries that impose quarantines
@@ -126,7 +127,7 @@
 	if p.tracker.unsettled == 0 {
 		return ""
 	}
-	suspects, _ := p.tracker.suspects(true)
+	suspects := p.tracker.recentSuspects()
 	for _, part := range p.parts {
 		if suspects[part] {
 			return part
@@ -202,7 +203,7 @@
 	t := p.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspects, _ := t.suspects(true)
+	suspects := t.recentSuspects()
 	return slices.ContainsFunc(p.parts, func(part Part) bool { return suspects[part] || t.quarantines[part] != nil })
 }
 
@@ -245,6 +246,7 @@
 // impose quarantines a part. The caller holds the lock.
 func (t *Tracker) impose(part Part, d time.Duration) {
 	now := t.now()
+	t.recent = recentSuspects{}
 	t.quarantines[part] = t.newQuarantine(now, now.Add(d), d, t.id)
 	t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: d})
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -312,3 +312,17 @@
 		t.Errorf("all requests of the service are refused for %v", left)
 	}
 }
+
+// BenchmarkBlocked measures the check of a request while many crashes are not settled.
+func BenchmarkBlocked(b *testing.B) {
+	tr := New(time.Now)
+	for n := range maxCrashes {
+		for i := range maxPartsPerCrash / 2 {
+			tr.Prompt(testService, []Part{"kind", Part(fmt.Sprintf("p-%d-%d", n, i))}).Crashed(engine(n))
+		}
+	}
+	p := tr.Prompt(testService, []Part{"kind", "subject"})
+	for b.Loop() {
+		p.Blocked()
+	}
+}
