gateway: end requests whose caller does not read

Cause: nothing bounded the writes to the caller's connection. When a caller stopped reading within a long answer, the write blocked; the deadline of the request ended only the connection to the target, on which nobody was reading. The request kept its place, its memory and the target's connection as long as the caller liked.

Change: the writes of a request have a deadline, 200 ms after that of the request, so that an error at the deadline still gets through. net/http clears it after each answer.

TestUnreadAnswerEnds: before, all four cases (stated length, chunks, HTTP/1.0, stream) were in flight half a second after the route's timeout, with the place in use and the target's connection open. After, all pass, also twice with -race.

TestSlowCallerGetsWholeAnswer and TestDeadlineEndsWithRequest pass before and after; they bound the change. The former fails if the writes end one second before the deadline.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -37,6 +37,9 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBodyBytes bounds bodies before a configuration states a limit.
 	defaultBodyBytes = 1 << 20
+	// writeGrace is the time after the deadline of a request within which the caller must have taken its answer. It leaves
+	// time for an error that is written at the deadline.
+	writeGrace = 200 * time.Millisecond
 	// noConfigRetryAfter is the retry-after time of callers of a process that has no configuration yet.
 	noConfigRetryAfter = 300 * time.Millisecond
 )
@@ -177,9 +180,24 @@
 	return limit
 }
 
+// limitWrites bounds the time for writing the answer, so that a caller that does not read cannot keep the request, its place
+// and the connection to its target beyond the deadline. The server removes the limit when the answer has been written.
+func (x *exchange) limitWrites() {
+	end := x.deadline
+	if end.IsZero() {
+		end = x.record.Started.Add(defaultTimeout)
+	}
+	if now := time.Now(); end.Before(now) {
+		end = now
+	}
+	// An error means that the connection is closed, or that w is not the server's and has no deadlines.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(end.Add(writeGrace))
+}
+
 // run makes attempts until the caller has its final answer or has left.
 func (x *exchange) run() {
 	x.deadline = x.record.Started.Add(x.timeLimit())
+	x.limitWrites()
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
--- /dev/null
+++ b/internal/gateway/slowcaller_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/test/standin/target"
+)
+
+const okHead = "HTTP/1.1 200 OK\r\n" + target.HeaderID + ": ID\r\n" + target.HeaderStamp + ": s\r\n"
+
+// callOnConn opens a connection with a small receive buffer and sends a request on it.
+func callOnConn(t *testing.T, addr, path, version string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.(*net.TCPConn).SetReadBuffer(32 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(rawCallerLimit)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "POST "+path+" "+version+"\r\nHost: test.example\r\n"+target.HeaderID+": req-1\r\nAuthorization: Bearer k1\r\n"+
+		"Content-Length: 1\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestUnreadAnswerEnds guards against a caller that stops reading within its answer, and keeps the request, its place at the
+// target and the target's connection beyond the route's timeout.
+func TestUnreadAnswerEnds(t *testing.T) {
+	for name, c := range map[string]struct{ start, again, path, version string }{
+		"stated length": {okHead + "Content-Length: 100000000\r\n\r\n", "a", "/unsafe/x", "HTTP/1.1"},
+		"chunks":        {okHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("a", 1024) + "\r\n", "/unsafe/x", "HTTP/1.1"},
+		"HTTP/1.0":      {okHead + "Content-Length: 100000000\r\n\r\n", "a", "/unsafe/x", "HTTP/1.0"},
+		"stream":        {okHead + "Content-Type: text/event-stream\r\n\r\n", "data: " + strings.Repeat("a", 1024) + "\n\n", "/once/x", "HTTP/1.1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			var closed atomic.Bool
+			b := endless(c.start, c.again, &written, &closed)
+			f := newFixture(t, b, b)
+			addr := limitedServer(t, f, routetable.Limits{})
+			start := time.Now()
+			conn := callOnConn(t, addr, c.path, c.version)
+			if _, err := io.ReadFull(conn, make([]byte, 1024)); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case r := <-f.records:
+				if d := time.Since(start); d < routeTimeout || r.Outcome != "broken" {
+					t.Errorf("ended as %s after %v", r.Outcome, d)
+				}
+			case <-time.After(time.Until(start.Add(routeTimeout + 500*time.Millisecond))):
+				t.Error("the request had not ended half a second after the route's timeout")
+			}
+			for end := time.Now().Add(200 * time.Millisecond); !closed.Load() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			}
+			if places := f.gateway.Balance.InFlight(); len(places) > 0 || !closed.Load() {
+				t.Errorf("places in use: %v; the target's connection is closed: %v", places, closed.Load())
+			}
+		})
+	}
+}
+
+// TestSlowCallerGetsWholeAnswer guards against a caller that is cut off before its deadline because it reads slowly.
+func TestSlowCallerGetsWholeAnswer(t *testing.T) {
+	const size = 8 << 20 // more than the buffers of the connections hold
+	b := target.Answer(200, strings.Repeat("a", size))
+	f := newFixture(t, b, b)
+	addr := limitedServer(t, f, routetable.Limits{})
+	start := time.Now()
+	c := callOnConn(t, addr, "/unsafe/x", "HTTP/1.1")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	read := int64(0)
+	for pause := routeTimeout / 15; time.Since(start) < routeTimeout*2/3; time.Sleep(pause) {
+		n, err := io.CopyN(io.Discard, resp.Body, 64<<10)
+		if read += n; err != nil {
+			t.Fatalf("cut after %v and %d bytes: %v", time.Since(start), read, err)
+		}
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if read+n != size || err != nil {
+		t.Errorf("%d bytes after %v, want %d: %v", read+n, time.Since(start), size, err)
+	}
+}
+
+// TestDeadlineEndsWithRequest guards against the deadline of a request that cuts off the answer to the next one on the
+// connection, whether that one is forwarded, refused or malformed.
+func TestDeadlineEndsWithRequest(t *testing.T) {
+	const head = " HTTP/1.1\r\nHost: test.example\r\n" + target.HeaderID + ": req-1\r\nAuthorization: Bearer k1\r\nX-Camphorbank-Deadline-Ms: 200\r\n\r\n"
+	for name, next := range map[string]struct {
+		input string
+		want  int
+	}{
+		"forwarded": {"GET /safe/x" + head, 200}, "refused": {"GET /none/x" + head, 404}, "malformed": {"hello\r\n\r\n", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
+			c, err := net.Dial("tcp", limitedServer(t, f, routetable.Limits{}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if err := c.SetDeadline(time.Now().Add(rawCallerLimit)); err != nil {
+				t.Fatal(err)
+			}
+			r := bufio.NewReader(c)
+			checkStatus(t, c, r, "GET /safe/x"+head, 200)
+			time.Sleep(time.Second) // the deadline of the first request passes
+			checkStatus(t, c, r, next.input, next.want)
+		})
+	}
+}
+
+// checkStatus sends a request and checks the status of its answer.
+func checkStatus(t *testing.T, c net.Conn, r *bufio.Reader, input string, want int) {
+	t.Helper()
+	if _, err := io.WriteString(c, input); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != want {
+		t.Errorf("status %d, want %d: %v", resp.StatusCode, want, err)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -175,7 +177,7 @@
 	}
 }
 
-// sendBlocks sends a part of a stream to the caller, and reports whether the caller is still connected.
+// sendBlocks sends a part of a stream to the caller, and reports whether the caller has taken it.
 func (x *exchange) sendBlocks(resp *upstream.Response, data []byte) bool {
 	if !x.headSent {
 		x.copyHead(resp)
@@ -185,7 +187,11 @@
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.record.setOutcome(OutcomeBroken, ReasonTimeout)
+		x.truncated = true
+	case err != nil:
 		x.record.setOutcome(OutcomeLeft, "")
 	}
 	return err == nil
