gateway: drop what a caller has not been sent when its deadline passes

Cause: an answer that is broken off at the deadline was closed in order, so that the caller first got all that the socket buffers held. In a trace of TestEndlessBytes beside four busy processes (-race, 25 runs of the case body) these were 1.5 to 5.5 MB at the end of the request, and the caller took 0.01 to 0.6 s to read them. The same holds for an answer that exceeds its bound.

Change: the connection is reset in both cases. A write that has reached its deadline sets this up itself, since net/http closes the connection before the handler learns of it.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -82,6 +84,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write writes to the caller. If the caller has not taken the bytes by the deadline, the connection is reset when it is
+// closed, which drops them. The server closes it before the handler learns of the error.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if t, ok := c.Conn.(*net.TCPConn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = t.SetLinger(0)
+	}
+	return n, err
+}
+
 // headerBytes returns the size of the head of a request.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n") + len(" ") + len("Host") + len(r.Host) +
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -50,16 +50,25 @@
 // breakOff closes the connection of a caller whose answer has begun, so that the answer cannot be mistaken for a complete
 // one.
 func (x *exchange) breakOff() {
-	if !x.r.ProtoAtLeast(1, 1) {
+	if !x.r.ProtoAtLeast(1, 1) || x.unsentIsUseless() {
 		x.resetCaller()
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// resetCaller resets the caller's connection. An answer over HTTP/1.0 has no chunks, so that one without a length ends
-// like a complete one if its connection is only closed.
+// unsentIsUseless reports whether the caller needs no more of what was written for it. The buffers of a connection hold
+// megabytes; if the connection is only closed, the caller has to read them before it learns that the answer has ended.
+func (x *exchange) unsentIsUseless() bool {
+	n := len(x.record.Attempts)
+	return !time.Now().Before(x.deadline) || n > 0 && x.record.Attempts[n-1].Ending == BrokenEndless
+}
+
+// resetCaller resets the caller's connection, which drops the bytes that have not been sent. An answer over HTTP/1.0 has no
+// chunks, so that one without a length ends like a complete one if its connection is only closed.
 func (x *exchange) resetCaller() {
-	c, _, err := http.NewResponseController(x.w).Hijack()
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetWriteDeadline(time.Now()) // Hijack flushes, which would wait for a caller that does not read
+	c, _, err := rc.Hijack()
 	if err != nil {
 		return // the connection has failed already
 	}
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,6 +75,26 @@
 	}
 }
 
+// TestTimeoutDropsUnsentBytes guards against a caller that learns late that its answer has ended at the deadline, since it
+// first gets the megabytes that the gateway's connection holds for it.
+func TestTimeoutDropsUnsentBytes(t *testing.T) {
+	var written atomic.Int64
+	var closed atomic.Bool
+	b := endless(okHead+"Content-Length: 100000000\r\n\r\n", "a", &written, &closed)
+	f := newFixture(t, b, b)
+	c := callOnConn(t, limitedServer(t, f, routetable.Limits{}), "/unsafe/x", "HTTP/1.1")
+	select {
+	case <-f.records:
+	case <-time.After(2 * routeTimeout):
+		t.Fatal("the request has not ended")
+	}
+	time.Sleep(100 * time.Millisecond)
+	n, err := io.Copy(io.Discard, c)
+	if !errors.Is(err, syscall.ECONNRESET) || n > 1<<20 {
+		t.Errorf("%d bytes followed, then %v; want at most %d and a reset", n, err, 1<<20)
+	}
+}
+
 // TestSlowCallerGetsWholeAnswer guards against a caller that is cut off before its deadline because it reads slowly.
 func TestSlowCallerGetsWholeAnswer(t *testing.T) {
 	const size = 8 << 20 // more than the buffers of the connections hold
