gateway: take one allowance for a retry after a failure

Cause: passOnFailure took a retry from the budget for the decision not to pass on a target's failure, and retryOrGiveUp took a second one for the same retry. With one left, the caller got 502 with retry-budget-used-up in place of an answer, and each such retry used up two.

Change: the retry that passOnFailure has taken is the one that follows.

TestRetryAfterFailureTakesOneAllowance: before, 502 retry-budget-used-up with one retry left; after, the answer of the second target, and the first one's own failure with none left.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -103,7 +103,11 @@
 	if !x.route.Idempotent() {
 		return true
 	}
-	return x.sends >= x.route.MaxAttempts || time.Until(x.deadline) < minRetryTime || !x.g.Retries.Take(x.service)
+	if x.sends >= x.route.MaxAttempts || time.Until(x.deadline) < minRetryTime {
+		return true
+	}
+	x.retryTaken = x.g.Retries.Take(x.service)
+	return !x.retryTaken
 }
 
 // minRetryTime is the remaining time that another attempt needs after a target's failure.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -256,7 +256,7 @@
 		x.giveUp(ReasonSuspected, x.refusedRetryAfter())
 	case x.sends >= x.route.MaxAttempts:
 		x.giveUp(ReasonAttempts, x.refusedRetryAfter())
-	case !x.g.Retries.Take(x.service):
+	case !x.takeRetry():
 		x.giveUp(ReasonBudget, x.refusedRetryAfter())
 	default:
 		return true
@@ -264,6 +264,13 @@
 	return false
 }
 
+// takeRetry takes a retry from the budget, unless the present attempt has already taken one.
+func (x *exchange) takeRetry() bool {
+	taken := x.retryTaken
+	x.retryTaken = false
+	return taken || x.g.Retries.Take(x.service)
+}
+
 // refusedRetryAfter returns the retry-after time of a caller whose request was refused by targets.
 func (x *exchange) refusedRetryAfter() time.Duration {
 	return min(balance.GroupReformTime, time.Duration(balance.RetryAfterShare*float64(time.Until(x.deadline))))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -178,6 +178,20 @@
 	}
 }
 
+// TestRetryAfterFailureTakesOneAllowance guards against a retry that is taken from the budget twice. If only one is left, the
+// caller got 502 in place of the target's own failure or the answer of another target.
+func TestRetryAfterFailureTakesOneAllowance(t *testing.T) {
+	f := newFixture(t, target.Answer(500, "own"), target.Answer(200, "fine"))
+	// Eight tenths of the slack can be used, which is one retry.
+	f.gateway.Retries = retry.NewFleetBudget(retry.Allowance{Slack: 1.3, Window: time.Minute}, true, time.Now)
+	if a := f.do("GET", "/safe/x", ""); a.status != 200 || a.body != "fine" {
+		t.Errorf("with one retry left: %+v", a)
+	}
+	if a := f.do("GET", "/safe/x", ""); a.status != 500 || a.body != "own" {
+		t.Errorf("with no retry left: %+v", a)
+	}
+}
+
 // TestIdempotentRequestIsRetriedElsewhere guards against giving up an idempotent request while another target could run
 // it.
 func TestIdempotentRequestIsRetriedElsewhere(t *testing.T) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -81,6 +81,7 @@
 	failedTargets map[targetset.Incarnation]bool
 	prompt        *quarantine.Prompt // nil if the request states no shared parts of its prompt
 	sends         int                // number of attempts in which bytes of the request were sent
+	retryTaken    bool               // a retry after the present attempt has been taken from the budget
 	headSent      bool               // the head of the answer was sent to the caller
 	contentType   string             // of that head
 	lastEventID   string             // id of the last event that the caller has
