gateway: give errors two seconds to be written

Cause: the limit of 200 ms after the deadline also held for errors that are written at the deadline. In a trial on a machine with a load of about 15, with two more test binaries, TestBrokenAnswersNeverLookComplete saw callers whose connection was closed without an answer where 504 was due.

Change: errors may be written for two seconds. The place and the target's connection are free by then. The test for callers that do not read passes; TestBrokenAnswersNeverLookComplete passed once with -race at a load of 19. That the limit was the cause is an inference.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -37,9 +37,11 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBodyBytes bounds bodies before a configuration states a limit.
 	defaultBodyBytes = 1 << 20
-	// writeGrace is the time after the deadline of a request within which the caller must have taken its answer. It leaves
-	// time for an error that is written at the deadline.
-	writeGrace = 200 * time.Millisecond
+	// writeGrace is the time after the deadline of a request within which the caller must have taken its answer, and
+	// errorWriteTime the time for an error of the system itself. The latter is longer, since a busy machine can take more
+	// than writeGrace to write an error, and since the place and the connection to the target are free by then.
+	writeGrace     = 200 * time.Millisecond
+	errorWriteTime = 2 * time.Second
 	// noConfigRetryAfter is the retry-after time of callers of a process that has no configuration yet.
 	noConfigRetryAfter = 300 * time.Millisecond
 )
@@ -181,24 +183,18 @@
 	return limit
 }
 
-// limitWrites bounds the time for writing the answer, so that a caller that does not read cannot keep the request, its place
-// and the connection to its target beyond the deadline. The server removes the limit when the answer has been written.
-func (x *exchange) limitWrites() {
-	end := x.deadline
-	if end.IsZero() {
-		end = x.record.Started.Add(defaultTimeout)
-	}
-	if now := time.Now(); end.Before(now) {
-		end = now
-	}
+// limitWrites sets the time by which the answer must be written, so that a caller that does not read cannot keep the request,
+// its place and the connection to its target beyond the deadline. The server removes the limit when the answer has been
+// written.
+func (x *exchange) limitWrites(end time.Time) {
 	// An error means that the connection is closed, or that w is not the server's and has no deadlines.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(end.Add(writeGrace))
+	_ = http.NewResponseController(x.w).SetWriteDeadline(end)
 }
 
 // run makes attempts until the caller has its final answer or has left.
 func (x *exchange) run() {
 	x.deadline = x.record.Started.Add(x.timeLimit())
-	x.limitWrites()
+	x.limitWrites(x.deadline.Add(writeGrace))
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
