fleet: count messages, bytes and processor time of a large fleet

TestTrafficOfLargeFleet runs 52 entries in three data centres and 192 ranks in virtual time, encodes each message as JSON, and logs the counts by kind of message and by phase. RankClient takes a Caller, so that the test can carry its calls.

--- a/internal/fleet/rankclient.go
+++ b/internal/fleet/rankclient.go
@@ -4,14 +4,12 @@
 	"context"
 	"slices"
 	"sync"
-
-	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 )
 
 // RankClient calls the entries on behalf of a process that runs beside a rank. It is safe for concurrent use.
 type RankClient struct {
 	Seeds []string // control addresses of some entries
-	Pool  *peer.Pool
+	Pool  Caller
 
 	mu        sync.Mutex
 	entries   []string        // control addresses; the entry that answered the last call is first
--- a/internal/fleet/summary_test.go
+++ b/internal/fleet/summary_test.go
@@ -27,11 +27,13 @@
 
 // network carries calls between the members of a fleet without sockets.
 type network struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
-	members map[string]*member // by control address
-	lost    float64            // share of calls that are lost
-	cutOff  string             // data centre that reaches no other one; empty for none
+	mu       sync.Mutex
+	rng      *rand.Rand
+	members  map[string]*member // by control address
+	lost     float64            // share of calls that are lost
+	cutOff   string             // data centre that reaches no other one; empty for none
+	isolated map[string]bool    // control addresses that reach no other one
+	traffic  *traffic           // nil unless the messages are encoded and counted
 }
 
 var errLost = errors.New("the call was lost")
@@ -51,6 +53,10 @@
 	if to != nil && to.opt.Self.DataCentre != p.self.DataCentre && (p.n.cutOff == to.opt.Self.DataCentre || p.n.cutOff == p.self.DataCentre) {
 		lost = true
 	}
+	if p.n.isolated[addr] || p.n.isolated[p.self.Control] {
+		lost = true
+	}
+	counter := p.n.traffic
 	p.n.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -60,6 +66,9 @@
 	if to == nil {
 		return errLost
 	}
+	if counter != nil {
+		return counter.carry(ctx, p.self, to, method, in, out)
+	}
 	var err error
 	switch method {
 	case methodExchange:
@@ -106,10 +115,15 @@
 
 // start starts an entry that has one request in flight at the target t and finds the others through seeds.
 func (n *network) start(index int) *member {
+	return n.startIn(index, fmt.Sprint("dc-", index%testCentres))
+}
+
+// startIn is start for an entry in the given data centre.
+func (n *network) startIn(index int, dataCentre string) *member {
 	m := &member{inFlight: map[string]map[string]int{}, reportedAt: map[string]time.Time{}}
 	targets, tables := targetset.New(), &routetable.Store{}
 	targets.Replace(targetset.Position{Revision: 1}, []targetset.Target{{ID: "t", Service: "s", Slots: 1, Position: targetset.Position{Revision: 1}}}, time.Now())
-	self := Entry{Name: fmt.Sprint("e-", index), Control: fmt.Sprint("c-", index), Started: 1, DataCentre: fmt.Sprint("dc-", index%testCentres)}
+	self := Entry{Name: fmt.Sprint("e-", index), Control: fmt.Sprint("c-", index), Started: 1, DataCentre: dataCentre}
 	m.Fleet = New(Options{
 		Self: self, Seeds: []string{"c-0", "c-1"}, Pool: endpoint{n, self}, Tables: tables, Targets: targets, Notify: func(Event) {},
 		InFlight:       func() map[string]int { return map[string]int{"t": 1} },
