fleet: keep the sorted members, their hash and the replies to ranks

Each heartbeat sorted and hashed all known members twice or more, and each registration of a rank sorted them and encoded the list. They are now built again only when a member changes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -86,6 +83,7 @@
 	entries   map[string]*entryState // by control address
 	ranks     map[string]*rankState  // by name
 	lastCalls map[string]time.Time   // time of the last call, by control address
+	roster    *roster                // the known members; nil if it must be built again
 }
 
 // entryState is what is known about another entry.
@@ -164,6 +162,7 @@
 		switch {
 		case now.Sub(e.lastMentioned) > memberExpiry:
 			delete(f.entries, addr)
+			f.roster = nil
 		case !e.calling && f.callDue(e, contacts, now):
 			e.calling = true
 			go f.call(ctx, e.Entry)
@@ -172,6 +171,7 @@
 	for name, r := range f.ranks {
 		if now.Sub(r.lastMentioned) > memberExpiry {
 			delete(f.ranks, name)
+			f.roster = nil
 		}
 	}
 	for addr, at := range f.lastCalls {
@@ -214,6 +214,7 @@
 	if s == nil || s.Started < e.Started {
 		s = &entryState{Entry: e}
 		f.entries[e.Control] = s
+		f.roster = nil
 	}
 	s.lastMentioned = now
 	return s
@@ -222,9 +223,13 @@
 // learnRank records a rank's process unless a later incarnation is known. The caller holds the lock.
 func (f *Fleet) learnRank(r Rank, now time.Time) {
 	s := f.ranks[r.Name]
-	if s == nil || s.Started <= r.Started {
-		f.ranks[r.Name] = &rankState{r, now}
+	if s != nil && s.Started > r.Started {
+		return
 	}
+	if s == nil || s.Rank != r {
+		f.roster = nil
+	}
+	f.ranks[r.Name] = &rankState{r, now}
 }
 
 // fetchState requests newer state from an entry and applies it.
@@ -280,24 +285,13 @@
 func (f *Fleet) serveRank(_ context.Context, in RankRequest) (RankReply, error) {
 	f.mu.Lock()
 	f.learnRank(in.Rank, time.Now())
+	known := f.currentRoster()
 	f.mu.Unlock()
-	entries, ranks := f.members()
-	out := RankReply{Entries: entries, Engine: f.engineConfig(in.Rank.Engine)}
-	for _, r := range ranks {
-		if r.Group == in.Group {
-			out.Ranks = append(out.Ranks, r)
-		}
-	}
-	content, err := json.Marshal(out)
-	if err != nil {
-		return out, err
-	}
-	digest := xxhash.Sum64(content)
-	if digest == in.Have {
-		return RankReply{Digest: digest}, nil
+	out, err := known.rankReply(in.Group, f.engineConfig(in.Rank.Engine))
+	if err == nil && out.Digest == in.Have {
+		return RankReply{Digest: out.Digest}, nil
 	}
-	out.Digest = digest
-	return out, nil
+	return out, err
 }
 
 // engineConfig returns the engine parameters of the service to which the target at addr belongs. It returns nil if the
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -61,6 +61,7 @@
 	e := f.learnEntry(h.From, now)
 	if e.Entry != h.From { // after a clock was set back, a new incarnation has an earlier start time
 		e.Entry = h.From
+		f.roster = nil
 	}
 	e.lastHeard = now
 	e.readsPlatform = h.ReadsPlatform && !h.Stopping
