fleet: send a leave to each entry until it has arrived, and not after that

Each heartbeat held all leaves of the last 15 s. After an outage of the store in which targets expired, these were nearly all bytes between entries. Entries now number the changes of their leaves, and heartbeats confirm the number up to which the leaves have arrived. A restarted process confirms nothing, so that it gets all of them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,8 @@
 	calling       bool           // a call to the entry is open
 	live          bool           // a heartbeat arrived within livenessTimeout
 	readsPlatform bool           // reads the platform itself, reaches it, and is not stopping
+	leavesSent    int64          // number up to which the entry has this one's leaves, as it stated last
+	leavesHave    int64          // number up to which this entry has the other one's leaves
 }
 
 // rankState is what is known about a process beside a rank.
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -34,8 +34,10 @@
 	list, own, now := f.opt.Targets.Snapshot(), f.opt.InFlight(), time.Now()
 	h := Heartbeat{
 		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Position, Members: f.memberHash(),
-		Leaves: f.opt.Targets.Leaves(now), ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
+		ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
 	}
+	h.LeaveRange = f.leaveRange(to)
+	h.Leaves, h.LeaveRange.Last = f.opt.Targets.Leaves(h.LeaveRange.After, now)
 	if f.opt.Quarantine != nil {
 		h.Evidence = f.opt.Quarantine.Report()
 	}
@@ -45,31 +47,74 @@
 	return h
 }
 
-// serveExchange answers a heartbeat with this entry's own, and processes the received one in the background.
+// serveExchange answers a heartbeat with this entry's own, which confirms the received leaves, and processes the rest of
+// the received one in the background.
 func (f *Fleet) serveExchange(ctx context.Context, in Heartbeat) (Heartbeat, error) {
-	go f.handleHeartbeat(context.WithoutCancel(ctx), in)
+	if f.fromOther(in) {
+		f.recordSender(in, time.Now())
+		go f.handleState(context.WithoutCancel(ctx), in)
+	}
 	return f.ownHeartbeat(in.From), nil
 }
 
-// handleHeartbeat processes a received heartbeat, and fetches the sender's state if it is newer than this entry's.
-func (f *Fleet) handleHeartbeat(ctx context.Context, h Heartbeat) {
-	if h.From.Control == "" || h.From.Control == f.opt.Self.Control {
-		return
-	}
-	now := time.Now()
+// fromOther reports whether a heartbeat is from another entry.
+func (f *Fleet) fromOther(h Heartbeat) bool {
+	return h.From.Control != "" && h.From.Control != f.opt.Self.Control
+}
+
+// recordSender records the sender of a heartbeat, and applies and confirms its leaves.
+func (f *Fleet) recordSender(h Heartbeat, now time.Time) {
+	f.opt.Targets.Leave(h.Leaves)
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	e := f.learnEntry(h.From, now)
 	if e.Entry != h.From { // after a clock was set back, a new incarnation has an earlier start time
 		e.Entry = h.From
+		e.leavesSent, e.leavesHave = 0, 0
 		f.roster = nil
 	}
 	e.lastHeard = now
 	e.readsPlatform = h.ReadsPlatform && !h.Stopping
-	f.mu.Unlock()
+	e.leavesSent = 0
+	if h.LeaveRange.HaveOf == f.opt.Self.Started {
+		e.leavesSent = h.LeaveRange.Have
+	}
+	if h.LeaveRange.After <= e.leavesHave {
+		e.leavesHave = max(e.leavesHave, h.LeaveRange.Last)
+	}
+}
+
+// leaveRange returns the LeaveRange of a heartbeat to another entry, without the number of the last change.
+func (f *Fleet) leaveRange(to Entry) LeaveRange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.entries[to.Control]
+	if e == nil {
+		return LeaveRange{}
+	}
+	out := LeaveRange{After: e.leavesSent, Have: e.leavesHave}
+	if e.leavesHave > 0 {
+		out.HaveOf = e.Started
+	}
+	return out
+}
+
+// handleHeartbeat processes a received heartbeat.
+func (f *Fleet) handleHeartbeat(ctx context.Context, h Heartbeat) {
+	if !f.fromOther(h) {
+		return
+	}
+	f.recordSender(h, time.Now())
+	f.handleState(ctx, h)
+}
+
+// handleState processes what a heartbeat states besides the sender and its leaves, and fetches the sender's state if it
+// is newer than this entry's.
+func (f *Fleet) handleState(ctx context.Context, h Heartbeat) {
+	now := time.Now()
 	if h.Summary != nil {
 		f.applySummary(h.From, h.Summary, now)
 	}
-	f.opt.Targets.Leave(h.Leaves)
 	if f.opt.Quarantine != nil {
 		f.opt.Quarantine.Merge(h.Evidence)
 	}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -49,6 +49,8 @@
 	List    targetset.Position `json:"lr"` // position of the sender's list of targets
 	Members uint64             `json:"mh"` // hash of the known entries and ranks
 	Leaves  []targetset.Leave  `json:"lv,omitempty"`
+	// LeaveRange states which of the sender's leaves Leaves holds, and which leaves of the receiver the sender has.
+	LeaveRange LeaveRange `json:"ln,omitzero"`
 	// InFlight holds the number of requests that the sender has in flight at each target, one byte for each, in the
 	// order of the target ids at the position List.
 	InFlight      []byte `json:"if,omitempty"`
@@ -60,6 +62,19 @@
 	Summary *Summary `json:"sm,omitempty"`
 }
 
+// LeaveRange makes sure that two entries send each other each leave until it has arrived, and not after that. Each entry
+// numbers the changes of its leaves. The numbers of one incarnation mean nothing to another one.
+type LeaveRange struct {
+	// After and Last are the numbers of the changes between which the leaves of a heartbeat lie. The receiver has all up
+	// to Last if it had all up to After.
+	After int64 `json:"a,omitempty"`
+	Last  int64 `json:"l,omitempty"`
+	// Have is the number up to which the sender of the heartbeat has the leaves of the receiver, in the incarnation of
+	// the receiver that started at HaveOf. It is 0 for none.
+	Have   int64 `json:"h,omitempty"`
+	HaveOf int64 `json:"o,omitempty"`
+}
+
 // StateRequest asks an entry for the parts of its state that are newer than the sender's.
 type StateRequest struct {
 	Config  int64              `json:"cv"` // configuration version that the sender has
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -34,7 +34,7 @@
 			if n := len(f.first.Arrivals()); n != 1 {
 				t.Errorf("%d requests reached the leaving target, want 1", n)
 			}
-			leaves := f.gateway.Targets.Leaves(time.Now())
+			leaves, _ := f.gateway.Targets.Leaves(0, time.Now())
 			if len(leaves) != 1 || leaves[0].Incarnation != (targetset.Incarnation{ID: "i-1"}) {
 				t.Errorf("peers learn of %v", leaves)
 			}
@@ -47,7 +47,7 @@
 func TestLeaveOfAnotherTarget(t *testing.T) {
 	f := newFixture(t, target.Raw("HTTP/1.1 421 Misdirected\r\n"+leavingHeader+"Content-Length: 0\r\n\r\n", true), target.Answer(200, "ok"))
 	f.do("GET", "/safe/x", "")
-	if leaves := f.gateway.Targets.Leaves(time.Now()); len(leaves) > 0 {
+	if leaves, _ := f.gateway.Targets.Leaves(0, time.Now()); len(leaves) > 0 {
 		t.Errorf("leaves %v", leaves)
 	}
 }
--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -66,6 +66,8 @@
 	eraStart Position // first position that was seen in the present era
 	listed   map[string]Target
 	leaves   map[Incarnation]leave // incarnations that drain or are gone
+	// leaveChanges is the number of changes of leaves so far.
+	leaveChanges int64
 	// removalDue holds the targets whose entries were removed after an outage of the list, with the time at which they
 	// count as gone.
 	removalDue   map[string]time.Time
@@ -153,6 +155,8 @@
 	learned  time.Time // when this process first learned of it
 	// final means that the target has said in an answer that it leaves, which no entry cancels.
 	final bool
+	// change is the value of Set.leaveChanges at the last change of this leave.
+	change int64
 }
 
 // cancelledBy reports whether an entry shows that the incarnation does not leave after all. An entry of another era
@@ -209,17 +213,20 @@
 	return leaving
 }
 
-// Leaves returns the leaves that are to be sent to peers, which are those learned within leaveShareTime.
-func (s *Set) Leaves(now time.Time) []Leave {
+// Leaves returns the leaves that are to be sent to a peer, which are those learned within leaveShareTime that have
+// changed since the change with the number after; 0 stands for all. It also returns the number of the last change.
+func (s *Set) Leaves(after int64, now time.Time) (out []Leave, last int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]Leave, 0, len(s.leaves))
+	if after == s.leaveChanges {
+		return nil, after
+	}
 	for i, l := range s.leaves {
-		if now.Sub(l.learned) < leaveShareTime {
+		if l.change > after && now.Sub(l.learned) < leaveShareTime {
 			out = append(out, Leave{i, l.position, l.final})
 		}
 	}
-	return out
+	return out, s.leaveChanges
 }
 
 // recordLeave stores a leave. The caller holds the lock.
@@ -228,6 +235,10 @@
 	if !known {
 		l.learned = time.Now()
 	}
+	if !known || l.position.Before(p) || final && !l.final {
+		s.leaveChanges++
+		l.change = s.leaveChanges
+	}
 	if l.position.Before(p) {
 		l.position = p
 	}
--- a/internal/targetset/targetset_test.go
+++ b/internal/targetset/targetset_test.go
@@ -59,8 +59,8 @@
 	for i := range int64(3 * maxLeavesKept) {
 		s.Leave([]Leave{{Incarnation{"t", i}, at(i + 1), false}})
 	}
-	if n := len(s.Leaves(time.Now())); n > maxLeavesKept {
-		t.Errorf("%d leaves are stored", n)
+	if leaves, _ := s.Leaves(0, time.Now()); len(leaves) > maxLeavesKept {
+		t.Errorf("%d leaves are stored", len(leaves))
 	}
 }
 
@@ -130,7 +130,8 @@
 	if !s.Announced(Incarnation{"a", 1}) || s.Announced(Incarnation{"a", 1}) {
 		t.Error("the leave is not reported exactly once")
 	}
-	peer.Leave(s.Leaves(now))
+	leaves, _ := s.Leaves(0, now)
+	peer.Leave(leaves)
 	for name, set := range map[string]*Set{"self": s, "peer": peer} {
 		set.Apply(at(6), []Change{{ID: "a", Position: at(6), Target: pointerTo(target("a", 1, 6, false))}}, now)
 		set.Replace(Position{1, 2}, []Target{inEra(target("a", 1, 2, false), 1)}, now)
