fleet: send requests in flight as runs of zeros and counts

Heartbeats held one byte for each target, most of them zeros.

The quiet phase of the test had a list of one target so far; it now has all 400, so that its figures until here are too low.

--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -51,8 +51,8 @@
 	Leaves  []targetset.Leave  `json:"lv,omitempty"`
 	// LeaveRange states which of the sender's leaves Leaves holds, and which leaves of the receiver the sender has.
 	LeaveRange LeaveRange `json:"ln,omitzero"`
-	// InFlight holds the number of requests that the sender has in flight at each target, one byte for each, in the
-	// order of the target ids at the position List.
+	// InFlight holds the number of requests that the sender has in flight at each target, in the order of the target ids
+	// at the position List. See encodeInFlight.
 	InFlight      []byte `json:"if,omitempty"`
 	ReadsPlatform bool   `json:"rd,omitempty"` // the sender reads the platform itself and reaches it
 	Stopping      bool   `json:"st,omitempty"`
--- a/internal/fleet/traffic_test.go
+++ b/internal/fleet/traffic_test.go
@@ -134,6 +134,7 @@
 		l.members = append(l.members, m)
 	}
 	l.readers = l.members[:maxPlatformReaders]
+	l.list.Revision = 1 // of the list that entries start with
 	l.replaceList(largeTargets)
 	l.offerConfig(1)
 	for g := range largeGroups {
