fleet: fetch each change once, and encode each state once

After a change an entry fetched it from each peer that stated it until the first reply arrived, and each reply was encoded and deflated anew.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,6 +84,10 @@
 	ranks     map[string]*rankState  // by name
 	lastCalls map[string]time.Time   // time of the last call, by control address
 	roster    *roster                // the known members; nil if it must be built again
+	fetches   []fetch                // open requests for newer state
+
+	packedMu sync.Mutex
+	packed   []packedState // states that were sent last, the newest last
 }
 
 // entryState is what is known about another entry.
@@ -234,54 +238,6 @@
 	f.ranks[r.Name] = &rankState{r, now}
 }
 
-// fetchState requests newer state from an entry and applies it.
-func (f *Fleet) fetchState(ctx context.Context, from Entry, request StateRequest) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var packed StateReply
-	if err := f.opt.Pool.Call(ctx, from.Control, methodState, request, &packed); err != nil {
-		return // the next heartbeat triggers another request; a peer that stays unreachable is reported as lost
-	}
-	reply, err := unpack(packed)
-	if err != nil {
-		f.opt.Notify(Event{Kind: EventMalformed, Peer: from.Name, Err: err})
-		return
-	}
-	now := time.Now()
-	if reply.Config != nil && f.opt.Tables.Offer(*reply.Config) {
-		f.opt.Notify(Event{Kind: EventConfig, Peer: from.Name, Value: reply.Config.Version})
-	}
-	if request.List.Before(reply.List) {
-		f.opt.Targets.Replace(reply.List, reply.Targets, now)
-		f.opt.Notify(Event{Kind: EventList, Peer: from.Name, Value: reply.List.Revision})
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, e := range reply.Entries {
-		if e.Control != f.opt.Self.Control {
-			f.learnEntry(e, now)
-		}
-	}
-	for _, r := range reply.Ranks {
-		f.learnRank(r, now)
-	}
-}
-
-// serveState returns the parts of this entry's state that are newer than the request states.
-func (f *Fleet) serveState(_ context.Context, in StateRequest) (StateReply, error) {
-	var out State
-	if t := f.opt.Tables.Load(); t != nil && t.Config.Version > in.Config {
-		out.Config = &t.Config
-	}
-	if position, targets := f.opt.Targets.Targets(); in.List.Before(position) {
-		out.List, out.Targets = position, targets
-	}
-	if in.Members {
-		out.Entries, out.Ranks = f.members()
-	}
-	return pack(out)
-}
-
 // serveRank records a rank's process and returns the entries, the ranks of its group and the engine parameters. If the
 // sender already has this reply, it returns the digest only.
 func (f *Fleet) serveRank(_ context.Context, in RankRequest) (RankReply, error) {
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -122,7 +122,7 @@
 	f.recordInFlight(list, h)
 	request := StateRequest{Config: f.opt.Tables.Version(), List: list.Position, Members: h.Members != f.memberHash()}
 	if h.Config > request.Config || request.List.Before(h.List) || request.Members {
-		f.fetchState(ctx, h.From, request)
+		f.fetchOnce(ctx, h, request)
 	}
 }
 
--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -256,13 +256,6 @@
 	delete(s.leaves, oldest)
 }
 
-// Targets returns the position of the list and all its targets.
-func (s *Set) Targets() (Position, []Target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.position, slices.Collect(maps.Values(s.listed))
-}
-
 // Expire removes the targets that have not registered again within ReregistrationTime after an outage of the list.
 func (s *Set) Expire(now time.Time) {
 	s.mu.Lock()
