balance: assess waiting requests with the same demand once

Each report of a peer or a group assessed all targets for each caller that waits for a closed group. Each refusal also looked for the end of the quiet time of all targets, which only the refusal of quiet ones needs.

BenchmarkReportWhileCallersWait (192 targets, 19 peers, 30 callers waiting for closed groups), on a busy machine: 7.56 ms and 0.25 ms for one report.

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
 const (
@@ -95,7 +97,7 @@
 			return lease, nil
 		}
 	}
-	quiet := b.quietEnd(job, job.Targets())
+	quiet := b.quietLeft(job, reason)
 	if !q.worthWaiting(job, reason, quiet, b.now()) {
 		b.mu.Unlock()
 		return nil, newRefusal(job, reason, quiet)
@@ -201,7 +203,7 @@
 	if w.blockedBy != "" {
 		reason = w.blockedBy
 	}
-	return nil, newRefusal(w.job, reason, b.quietEnd(w.job, w.job.Targets()))
+	return nil, newRefusal(w.job, reason, b.quietLeft(w.job, reason))
 }
 
 // dispatchAll gives free places to the waiting requests of all services. The caller holds the lock.
@@ -211,13 +213,30 @@
 	}
 }
 
+// demand is what decides, for a request that no target has failed, whether a target of its service takes it.
+type demand struct {
+	service   *routetable.Service
+	eventGap  time.Duration
+	returning bool
+}
+
 // dispatchQueue gives free places to the requests of one queue in their order until no place is left. It skips requests
-// that are blocked, so that they do not delay others.
+// that are blocked, so that they do not delay others. While a group is closed, hundreds of callers may be blocked, and
+// each report of a peer or a group comes here, so that requests with the same demand are assessed once.
 func (b *Balancer) dispatchQueue(q *queue) {
+	blocked := map[demand]Reason{}
 	for i := 0; i < len(q.waiting); {
 		w := q.waiting[i]
+		d := demand{w.job.Service, w.job.EventGap, w.job.Returning}
+		shared := len(w.job.Exclude) == 0
+		if reason := blocked[d]; shared && reason != "" {
+			w.blockedBy = reason
+			i++
+			continue
+		}
 		lease, reason := b.pick(w.job)
 		if lease != nil {
+			clear(blocked)
 			w.lease <- lease
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			continue
@@ -226,6 +245,9 @@
 		if w.blockedBy == "" {
 			return
 		}
+		if shared {
+			blocked[d] = w.blockedBy
+		}
 		i++
 	}
 }
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -27,6 +27,15 @@
 // quiet reports whether the target wants no request now.
 func (s *targetState) quiet(now time.Time) bool { return now.Before(s.quietUntil) }
 
+// quietLeft returns the time that a refusal for a reason depends on: that of quietEnd for ReasonQuiet, and 0 for others.
+// The caller holds the lock.
+func (b *Balancer) quietLeft(job *Job, reason Reason) time.Duration {
+	if reason != ReasonQuiet {
+		return 0
+	}
+	return b.quietEnd(job, job.Targets())
+}
+
 // quietEnd returns the time until the first target of a job that wants no request now wants one again. It returns 0 if
 // there is none. The caller holds the lock.
 func (b *Balancer) quietEnd(job *Job, targets []*targetset.Target) time.Duration {
