balance: keep the sum of the peers' requests and the paces by engine

The choice of a target added up the reports of all peers for each target, and searched the ranks of its group for its pace, which grows with the square of the group. The sum changes with each report, and the paces are indexed when the ranks are reported.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -98,6 +98,7 @@
 	states         map[targetset.Incarnation]*targetState
 	peerInFlight   map[string]map[string]int // requests in flight by peer process and target id
 	peerReportedAt map[string]time.Time
+	peerTotal      map[string]int // sum of peerInFlight by target id
 	groups         map[string]*group
 	groupByEngine  map[string]*group // by the address of a rank's engine
 	queues         map[string]*queue // by service
@@ -126,7 +127,7 @@
 // New returns a balancer for a process in the data centre. now is its clock.
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{Local: dataCentre, now: now, states: map[targetset.Incarnation]*targetState{},
-		peerInFlight: map[string]map[string]int{}, peerReportedAt: map[string]time.Time{}, groups: map[string]*group{},
+		peerInFlight: map[string]map[string]int{}, peerReportedAt: map[string]time.Time{}, peerTotal: map[string]int{}, groups: map[string]*group{},
 		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{}}
 }
 
@@ -249,15 +250,37 @@
 	return s
 }
 
-// inFlight returns the number of requests in flight at a target from all processes. The caller holds the lock.
-func (b *Balancer) inFlight(t *targetset.Target, now time.Time) int {
-	n := b.stateOf(t).ownInFlight
-	for name, counts := range b.peerInFlight {
-		if now.Sub(b.peerReportedAt[name]) < peerReportMaxAge {
-			n += counts[t.ID]
+// inFlight returns the number of requests in flight at a target from all processes. The caller holds the lock and has
+// called dropOldReports.
+func (b *Balancer) inFlight(t *targetset.Target) int {
+	return b.stateOf(t).ownInFlight + b.peerTotal[t.ID]
+}
+
+// replaceReport replaces the requests in flight of a peer; counts is nil if the peer no longer counts. The caller holds
+// the lock.
+func (b *Balancer) replaceReport(process string, counts map[string]int) {
+	for id, n := range b.peerInFlight[process] {
+		if b.peerTotal[id] -= n; b.peerTotal[id] == 0 {
+			delete(b.peerTotal, id)
+		}
+	}
+	for id, n := range counts {
+		b.peerTotal[id] += n
+	}
+	b.peerInFlight[process] = counts
+	if counts == nil {
+		delete(b.peerInFlight, process)
+		delete(b.peerReportedAt, process)
+	}
+}
+
+// dropOldReports drops the reports of peers that have reached peerReportMaxAge. The caller holds the lock.
+func (b *Balancer) dropOldReports(now time.Time) {
+	for name, at := range b.peerReportedAt {
+		if now.Sub(at) >= peerReportMaxAge {
+			b.replaceReport(name, nil)
 		}
 	}
-	return n
 }
 
 // Done frees the place, records how the request ended, and gives free places to waiting requests.
@@ -269,7 +292,8 @@
 		l.progress.running--
 	}
 	now := l.b.now()
-	if r == Refused && l.engine && l.b.inFlight(l.Target, now) < l.Target.Slots/2 {
+	l.b.dropOldReports(now)
+	if r == Refused && l.engine && l.b.inFlight(l.Target) < l.Target.Slots/2 {
 		r = groupClosed
 	}
 	l.b.recordResult(l.Target.ID, &l.s.health, r, now)
@@ -298,7 +322,7 @@
 func (b *Balancer) SetPeerInFlight(process string, counts map[string]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peerInFlight[process] = counts
+	b.replaceReport(process, counts)
 	b.peerReportedAt[process] = b.now()
 	b.dispatchAll()
 }
@@ -313,12 +337,7 @@
 			delete(b.states, i)
 		}
 	}
-	for name, at := range b.peerReportedAt {
-		if b.now().Sub(at) > peerReportMaxAge {
-			delete(b.peerReportedAt, name)
-			delete(b.peerInFlight, name)
-		}
-	}
+	b.dropOldReports(b.now())
 	b.removeOldGroups()
 	b.dispatchAll() // the backoff of a target may have ended
 }
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -28,6 +28,17 @@
 type group struct {
 	report   GroupReport
 	received time.Time
+	paces    map[string]float64 // of the ranks of the report, by the address of the engine
+	slowest  float64            // pace of the slowest rank, which the whole group waits for; at least 1
+}
+
+// readRanks sets what is derived from the ranks of the report.
+func (g *group) readRanks() {
+	g.paces, g.slowest = make(map[string]float64, len(g.report.Ranks)), 1
+	for _, r := range g.report.Ranks {
+		g.paces[r.Engine] = max(1, r.Pace)
+		g.slowest = max(g.slowest, r.Pace)
+	}
 }
 
 const (
@@ -52,8 +63,11 @@
 		b.now().Sub(g.received) < groupReportMaxAge {
 		return
 	}
+	next := &group{report: r, received: b.now()}
 	if len(r.Ranks) == 0 && g != nil && g.report.Term == r.Term {
-		r.Ranks = g.report.Ranks
+		next.report.Ranks, next.paces, next.slowest = g.report.Ranks, g.paces, g.slowest
+	} else {
+		next.readRanks()
 	}
 	if wasOpen := g == nil || g.report.TakesRequests; wasOpen != r.TakesRequests {
 		kind := EventClosed
@@ -62,11 +76,10 @@
 		}
 		b.notify(Event{Kind: kind, Group: r.Name})
 	}
-	g = &group{report: r, received: b.now()}
-	b.groups[r.Name] = g
-	for _, rank := range r.Ranks {
+	b.groups[r.Name] = next
+	for _, rank := range next.report.Ranks {
 		if rank.Engine != "" {
-			b.groupByEngine[rank.Engine] = g
+			b.groupByEngine[rank.Engine] = next
 		}
 	}
 	b.dispatchAll()
@@ -116,6 +129,7 @@
 // loads returns the requests in flight at each target, and their sums by group. The key nil holds the sum for targets
 // of unknown group.
 func (b *Balancer) loads(targets []*targetset.Target, now time.Time) ([]int, map[*group]*groupLoad) {
+	b.dropOldReports(now)
 	counts, groups := make([]int, len(targets)), map[*group]*groupLoad{}
 	for i, t := range targets {
 		g := b.groupOf(t, now)
@@ -124,7 +138,7 @@
 			l = &groupLoad{}
 			groups[g] = l
 		}
-		counts[i] = b.inFlight(t, now)
+		counts[i] = b.inFlight(t)
 		l.requests += counts[i]
 		l.ranks++
 	}
@@ -152,7 +166,7 @@
 		return 1, assumedImbalance
 	}
 	if g.report.Imbalance <= 0 {
-		return g.slowestPace(), assumedImbalance * g.slowestPace()
+		return g.slowest, assumedImbalance * g.slowest
 	}
 	return g.report.Imbalance, max(assumedImbalance, g.report.Imbalance)
 }
@@ -162,19 +176,5 @@
 	if g == nil {
 		return 1
 	}
-	for _, r := range g.report.Ranks {
-		if r.Engine == addr {
-			return max(1, r.Pace)
-		}
-	}
-	return 1
-}
-
-// slowestPace returns the pace of the slowest rank, which the whole group waits for.
-func (g *group) slowestPace() float64 {
-	pace := 1.0
-	for _, r := range g.report.Ranks {
-		pace = max(pace, r.Pace)
-	}
-	return pace
+	return max(1, g.paces[addr])
 }
