fleet, node: send the ranks of a group to an entry only until it has them

Coordinators sent the addresses and paces of all ranks to each entry once a second, also unchanged. Each state now names its ranks by the number of the first state with them, and the reply of an entry says whether it has them. An entry that has started again gets them with the next state, after 150 ms instead of up to a second.

--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -14,7 +14,9 @@
 	Term, Seq     int64        // a report replaces those with a lower Term, or the same Term and a lower Seq
 	TakesRequests bool         // the group takes requests
 	Imbalance     float64      // work of the most loaded rank divided by the mean; 0 if unknown
-	Ranks         []RankReport // empty if they have not changed since the previous report of the same term
+	Ranks         []RankReport // empty if they are those of the previous reports of the same term
+	// RanksSeq is the Seq of the first report of the term with these ranks; 0 if it is not stated.
+	RanksSeq int64
 }
 
 // RankReport is the state of one rank.
@@ -54,20 +56,28 @@
 	defaultMaxEventGap = 120 * time.Millisecond
 )
 
-// UpdateGroup records a group's report, unless a newer one is known that is not outdated.
-func (b *Balancer) UpdateGroup(r GroupReport) {
+// UpdateGroup records a group's report, unless a newer one is known that is not outdated. It reports whether the ranks
+// that a recorded report names are known.
+func (b *Balancer) UpdateGroup(r GroupReport) (ranksKnown bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	g := b.groups[r.Name]
 	if g != nil && (r.Term < g.report.Term || r.Term == g.report.Term && r.Seq <= g.report.Seq) &&
 		b.now().Sub(g.received) < groupReportMaxAge {
-		return
+		return true
 	}
 	next := &group{report: r, received: b.now()}
+	ranksKnown = true
 	if len(r.Ranks) == 0 && g != nil && g.report.Term == r.Term {
 		next.report.Ranks, next.paces, next.slowest = g.report.Ranks, g.paces, g.slowest
+		next.report.RanksSeq = g.report.RanksSeq
+		ranksKnown = g.report.RanksSeq == r.RanksSeq
 	} else {
 		next.readRanks()
+		if len(r.Ranks) == 0 {
+			next.report.RanksSeq = 0
+			ranksKnown = r.RanksSeq == 0
+		}
 	}
 	if wasOpen := g == nil || g.report.TakesRequests; wasOpen != r.TakesRequests {
 		kind := EventClosed
@@ -83,6 +93,7 @@
 		}
 	}
 	b.dispatchAll()
+	return ranksKnown
 }
 
 // groupExpiry is the time without a report after which a group and its engines are forgotten. Until then the last report
--- a/internal/balance/large_test.go
+++ b/internal/balance/large_test.go
@@ -173,3 +173,44 @@
 		balancer.SetPeerInFlight("p1", peerCounts(list, 1))
 	}
 }
+
+// TestMissingRanksAreNoticed guards against a group whose ranks are never known: the report with them was lost or
+// arrived after a later one, or the process has forgotten the group.
+func TestMissingRanksAreNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(2)
+		report := func(term, seq, ranksSeq int64, ranks bool) GroupReport {
+			r := groupReport("g", seq, list, 1.1)
+			r.Term, r.RanksSeq = term, ranksSeq
+			if !ranks {
+				r.Ranks = nil
+			}
+			return r
+		}
+		for _, step := range []struct {
+			what  string
+			r     GroupReport
+			known bool
+		}{
+			{"first report without ranks", report(1, 2, 1, false), false},
+			{"late report with ranks", report(1, 1, 1, true), true}, // ignored, as a later one is known
+			{"still without ranks", report(1, 3, 1, false), false},
+			{"with ranks", report(1, 4, 1, true), true},
+			{"brief report", report(1, 5, 1, false), true},
+			{"changed ranks", report(1, 6, 6, false), false},
+			{"still the earlier ranks", report(1, 7, 6, false), false},
+			{"with the changed ranks", report(1, 8, 6, true), true},
+			{"new term", report(2, 9, 9, false), false},
+		} {
+			if known := b.UpdateGroup(step.r); known != step.known {
+				t.Errorf("%s: ranks known %v, want %v", step.what, known, step.known)
+			}
+		}
+		time.Sleep(groupExpiry)
+		b.Sweep(nil)
+		if b.UpdateGroup(report(2, 10, 9, false)) {
+			t.Error("the ranks of a forgotten group count as known")
+		}
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,10 +48,11 @@
 	Quarantine     *quarantine.Tracker                           // nil for an entry that exchanges no evidence on prompts
 	InFlight       func() map[string]int                         // this entry's requests in flight, by target id
 	ReportInFlight func(process string, inFlight map[string]int) // receives the requests in flight of another entry
-	ReportGroup    func(GroupState)                              // receives the state of an engine group
-	ReadsPlatform  func() bool                                   // whether this process itself reads the platform
-	Stopping       func() bool                                   // whether this process is shutting down
-	Notify         func(Event)                                   // receives each event; must not block
+	// ReportGroup receives the state of an engine group, and reports whether the ranks that it names are known.
+	ReportGroup   func(GroupState) bool
+	ReadsPlatform func() bool // whether this process itself reads the platform
+	Stopping      func() bool // whether this process is shutting down
+	Notify        func(Event) // receives each event; must not block
 }
 
 // Event reports a change in the entry's view of the fleet, or in the state that it learnt from a peer.
@@ -270,7 +271,6 @@
 }
 
 // serveGroup passes on the state of an engine group that its coordinator sent.
-func (f *Fleet) serveGroup(_ context.Context, in GroupState) (struct{}, error) {
-	f.opt.ReportGroup(in)
-	return struct{}{}, nil
+func (f *Fleet) serveGroup(_ context.Context, in GroupState) (GroupReply, error) {
+	return GroupReply{NeedsRanks: !f.opt.ReportGroup(in)}, nil
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -120,7 +120,14 @@
 	Epoch     int64       `json:"e"`           // increases each time the group is formed
 	Open      bool        `json:"o"`           // whether the group serves requests
 	Imbalance float64     `json:"i"`           // work of the most loaded rank, times its pace, over the mean; 0 if unknown
-	Ranks     []RankState `json:"r,omitempty"` // by rank; empty if unchanged since the previous state of the same term
+	Ranks     []RankState `json:"r,omitempty"` // by rank; empty if the receiver has them
+	// RanksSeq is the Seq of the first state of the term with these ranks. It is never 0.
+	RanksSeq int64 `json:"rq"`
+}
+
+// GroupReply is the answer of an entry to the state of a group.
+type GroupReply struct {
+	NeedsRanks bool `json:"n,omitempty"` // the entry does not have the ranks that RanksSeq names
 }
 
 // RankState is the state of one rank's engine.
--- a/internal/fleet/rankclient.go
+++ b/internal/fleet/rankclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -12,11 +13,15 @@
 	Pool  Caller
 
 	mu        sync.Mutex
-	entries   []string        // control addresses; the entry that answered the last call is first
-	sending   map[string]bool // control addresses of entries to which a group state is being sent
-	lastReply RankReply       // last reply that was not the digest only
+	entries   []string                // control addresses; the entry that answered the last call is first
+	sending   map[string]bool         // control addresses of entries to which a group state is being sent
+	lastReply RankReply               // last reply that was not the digest only
+	haveRanks map[string]ranksVersion // by control address of the entry: the ranks of a group that it has confirmed
 }
 
+// ranksVersion names the ranks of a group as of one state.
+type ranksVersion struct{ term, seq int64 }
+
 // SetSeeds replaces the seed addresses.
 func (c *RankClient) SetSeeds(seeds []string) {
 	c.mu.Lock()
@@ -74,28 +79,43 @@
 }
 
 // SendGroupState sends the state of a group to all known entries without waiting for their answers. It skips entries
-// that have not answered the previous state yet.
+// that have not answered the previous state yet, and leaves the ranks out for those that have them: they are most of the
+// bytes of a state, and seldom change.
 func (c *RankClient) SendGroupState(ctx context.Context, s GroupState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sending == nil {
-		c.sending = map[string]bool{}
+		c.sending, c.haveRanks = map[string]bool{}, map[string]ranksVersion{}
 	}
+	maps.DeleteFunc(c.haveRanks, func(addr string, _ ranksVersion) bool { return !slices.Contains(c.entries, addr) })
+	version := ranksVersion{s.Term, s.RanksSeq}
+	brief := s
+	brief.Ranks = nil
 	for _, addr := range c.entries {
 		if c.sending[addr] {
 			continue
 		}
 		c.sending[addr] = true
-		go c.sendTo(ctx, addr, s)
+		if c.haveRanks[addr] == version {
+			go c.sendTo(ctx, addr, brief)
+		} else {
+			go c.sendTo(ctx, addr, s)
+		}
 	}
 }
 
-// sendTo sends the state of a group to the entry at addr.
+// sendTo sends the state of a group to the entry at addr, and records whether the entry has the ranks.
 func (c *RankClient) sendTo(ctx context.Context, addr string, s GroupState) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_ = c.Pool.Call(ctx, addr, methodGroup, s, nil) // the next state replaces a lost one
+	var reply GroupReply
+	err := c.Pool.Call(ctx, addr, methodGroup, s, &reply) // the next state replaces a lost one
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.sending, addr)
+	if err != nil || reply.NeedsRanks {
+		delete(c.haveRanks, addr)
+	} else {
+		c.haveRanks[addr] = ranksVersion{s.Term, s.RanksSeq}
+	}
 }
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -68,6 +68,7 @@
 		f := stateFleet(p)
 		hear(f, 1, 5)
 		time.Sleep(fetchPatience)
+		synctest.Wait()
 		p.delay = time.Millisecond
 		hear(f, 1, 5)
 		time.Sleep(10 * time.Millisecond)
--- a/internal/fleet/summary_test.go
+++ b/internal/fleet/summary_test.go
@@ -88,6 +88,17 @@
 	inFlight   map[string]map[string]int // as reported by peers, by source
 	reportedAt map[string]time.Time      // by source
 	heartbeats int
+	ranksSeq   map[string]int64 // by group
+}
+
+// reportGroup records which ranks of a group the member has, as package balance does.
+func (m *member) reportGroup(s GroupState) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(s.Ranks) > 0 {
+		m.ranksSeq[s.Group] = s.RanksSeq
+	}
+	return m.ranksSeq[s.Group] == s.RanksSeq
 }
 
 // inFlightMaxAge is the age from which a report of requests in flight is ignored, as in package balance.
@@ -120,14 +131,14 @@
 
 // startIn is start for an entry in the given data centre.
 func (n *network) startIn(index int, dataCentre string) *member {
-	m := &member{inFlight: map[string]map[string]int{}, reportedAt: map[string]time.Time{}}
+	m := &member{inFlight: map[string]map[string]int{}, reportedAt: map[string]time.Time{}, ranksSeq: map[string]int64{}}
 	targets, tables := targetset.New(), &routetable.Store{}
 	targets.Replace(targetset.Position{Revision: 1}, []targetset.Target{{ID: "t", Service: "s", Slots: 1, Position: targetset.Position{Revision: 1}}}, time.Now())
 	self := Entry{Name: fmt.Sprint("e-", index), Control: fmt.Sprint("c-", index), Started: 1, DataCentre: dataCentre}
 	m.Fleet = New(Options{
 		Self: self, Seeds: []string{"c-0", "c-1"}, Pool: endpoint{n, self}, Tables: tables, Targets: targets, Notify: func(Event) {},
 		InFlight:       func() map[string]int { return map[string]int{"t": 1} },
-		ReportInFlight: m.report, ReportGroup: func(GroupState) {},
+		ReportInFlight: m.report, ReportGroup: m.reportGroup,
 		ReadsPlatform: func() bool { return true }, Stopping: func() bool { return false },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fleet/traffic_test.go
+++ b/internal/fleet/traffic_test.go
@@ -170,9 +170,7 @@
 	}
 	for seq := int64(1); ctx.Err() == nil; seq++ {
 		s := GroupState{Group: self.Group, Term: 1, Seq: seq, Epoch: 1, Open: true, Imbalance: 1.2 + float64(seq%10)/100}
-		if seq%7 == 0 {
-			s.Ranks = ranks
-		}
+		s.Ranks, s.RanksSeq = ranks, 1
 		client.SendGroupState(ctx, s)
 		time.Sleep(150 * time.Millisecond)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -79,13 +79,14 @@
 	return e
 }
 
-// reportGroup passes the state of an engine group to the load balancer.
-func (e *entry) reportGroup(s fleet.GroupState) {
-	out := balance.GroupReport{Name: s.Group, Term: s.Term, Seq: s.Seq, TakesRequests: s.Open, Imbalance: s.Imbalance}
+// reportGroup passes the state of an engine group to the load balancer. It reports whether the ranks that the state names
+// are known.
+func (e *entry) reportGroup(s fleet.GroupState) bool {
+	out := balance.GroupReport{Name: s.Group, Term: s.Term, Seq: s.Seq, RanksSeq: s.RanksSeq, TakesRequests: s.Open, Imbalance: s.Imbalance}
 	for _, r := range s.Ranks {
 		out.Ranks = append(out.Ranks, balance.RankReport{Engine: r.Engine, Pace: r.Pace})
 	}
-	e.balance.UpdateGroup(out)
+	return e.balance.UpdateGroup(out)
 }
 
 // run serves callers, peers and the platform until ctx ends or the callers' server fails. It stops gracefully if ctx
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -48,20 +48,9 @@
 	engineConfig   *routetable.Engine          // engine parameters of the service; nil while they are unknown
 	seq            int64                       // number of the last group report
 	lastReport     time.Time                   // time of the last report of the group to the entries
-	lastFullReport fullReport                  // last report that included the ranks
+	firstWithRanks fleet.GroupState            // first report of the last term with the present ranks
 }
 
-// fullReport holds the content of a group report that included the state of the ranks.
-type fullReport struct {
-	at    time.Time
-	term  int64
-	ranks []fleet.RankState
-}
-
-// fullReportInterval is the time after which a report includes the ranks even if they are unchanged, since an entry
-// that started in the meantime needs them.
-const fullReportInterval = time.Second
-
 // newRank creates the parts of a process beside a rank. Its group and rank are unknown until the engine states them.
 func newRank(s *Settings, a Adapters) *rank {
 	r := &rank{settings: s, adapters: a, started: time.Now(), ranks: map[int]fleet.Rank{}, directAgents: map[string]*rankgroup.Agent{},
@@ -209,8 +198,7 @@
 }
 
 // groupState returns the next report of the group's state to the entries. due is false if the last report is less than
-// groupReportInterval ago. The report leaves the ranks out if they are unchanged since a recent report of the same
-// term.
+// groupReportInterval ago.
 func (r *rank) groupState(self fleet.Rank, s rankgroup.Report, now time.Time) (out fleet.GroupState, due bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,10 +218,9 @@
 		}
 		out.Ranks = append(out.Ranks, fleet.RankState{Engine: r.ranks[i].Engine, Pace: status.Pace})
 	}
-	if r.lastFullReport.term == s.Term && now.Sub(r.lastFullReport.at) < fullReportInterval && slices.Equal(r.lastFullReport.ranks, out.Ranks) {
-		out.Ranks = nil
-	} else {
-		r.lastFullReport = fullReport{now, s.Term, out.Ranks}
+	if first := r.firstWithRanks; first.Seq == 0 || first.Term != s.Term || !slices.Equal(first.Ranks, out.Ranks) {
+		r.firstWithRanks = out
 	}
+	out.RanksSeq = r.firstWithRanks.Seq
 	return out, true
 }
