fleet: mark the reachable entries of a data centre by bits

Summaries named each reachable entry of the data centre, which was most of a heartbeat between data centres. An entry that knows the same members now gets two bits for each; others get the names as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,6 +104,7 @@
 	readsPlatform bool           // reads the platform itself, reaches it, and is not stopping
 	leavesSent    int64          // number up to which the entry has this one's leaves, as it stated last
 	leavesHave    int64          // number up to which this entry has the other one's leaves
+	memberHash    uint64         // hash of the members that the entry knows, as it stated last
 }
 
 // rankState is what is known about a process beside a rank.
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -33,7 +33,7 @@
 func (f *Fleet) ownHeartbeat(to Entry) Heartbeat {
 	list, own, now := f.opt.Targets.Snapshot(), f.opt.InFlight(), time.Now()
 	h := Heartbeat{
-		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Position, Members: f.memberHash(),
+		From: f.opt.Self, Config: f.opt.Tables.Version(), List: list.Position,
 		ReadsPlatform: f.opt.ReadsPlatform(), Stopping: f.opt.Stopping(),
 	}
 	h.LeaveRange = f.leaveRange(to)
@@ -41,7 +41,7 @@
 	if f.opt.Quarantine != nil {
 		h.Evidence = f.opt.Quarantine.Report()
 	}
-	if h.Summary = f.summary(to, list, own, now); h.Summary == nil {
+	if h.Summary, h.Members = f.summary(to, list, own, now); h.Summary == nil {
 		h.InFlight = encodeInFlight(list, own)
 	}
 	return h
@@ -73,7 +73,7 @@
 		e.leavesSent, e.leavesHave = 0, 0
 		f.roster = nil
 	}
-	e.lastHeard = now
+	e.lastHeard, e.memberHash = now, h.Members
 	e.readsPlatform = h.ReadsPlatform && !h.Stopping
 	e.leavesSent = 0
 	if h.LeaveRange.HaveOf == f.opt.Self.Started {
@@ -113,7 +113,7 @@
 func (f *Fleet) handleState(ctx context.Context, h Heartbeat) {
 	now := time.Now()
 	if h.Summary != nil {
-		f.applySummary(h.From, h.Summary, now)
+		f.applySummary(h, now)
 	}
 	if f.opt.Quarantine != nil {
 		f.opt.Quarantine.Merge(h.Evidence)
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -85,3 +85,57 @@
 	f.startDueCalls(t.Context(), now.Add(memberExpiry+time.Second))
 	check("expired members")
 }
+
+// TestSummaryMarksEntries guards against summaries that name all entries of a data centre in each heartbeat between
+// data centres, and against marks that an entry with other members takes for other entries.
+func TestSummaryMarksEntries(t *testing.T) {
+	const entries = 52
+	now := time.Now()
+	pair := []*Fleet{}
+	for own := range 2 {
+		p := newPairMember(fmt.Sprintf("10.0.0.%d:7000", own), 1)
+		p.opt.Self.DataCentre = fmt.Sprint("dc-", own)
+		for i := range entries {
+			if i != own {
+				p.learnEntry(Entry{Name: fmt.Sprintf("10.0.0.%d:7000", i), Control: fmt.Sprintf("10.0.0.%d:7000", i), Started: 1, DataCentre: fmt.Sprint("dc-", i%2)}, now)
+			}
+		}
+		pair = append(pair, p.Fleet)
+	}
+	a, b := pair[0], pair[1]
+	// Self is known under its address only, as its name is not part of the hash.
+	for i := 2; i < entries; i += 2 {
+		if i != 4 {
+			e := a.entries[fmt.Sprintf("10.0.0.%d:7000", i)]
+			e.lastHeard, e.readsPlatform = now, i == 6
+		}
+	}
+	first := a.ownHeartbeat(b.opt.Self)
+	if len(first.Summary.Live) != entries/2-1 {
+		t.Fatalf("%d entries are named before the other one is known to have the same members", len(first.Summary.Live))
+	}
+	a.recordSender(b.ownHeartbeat(a.opt.Self), now)
+	h := a.ownHeartbeat(b.opt.Self)
+	if limit := entries*bitsPerMark/8 + 1; len(h.Summary.Live) > 0 || len(h.Summary.Marks) > limit {
+		t.Errorf("%d entries are named, and %d bytes of marks, want at most %d", len(h.Summary.Live), len(h.Summary.Marks), limit)
+	}
+	b.applySummary(h, now)
+	for control, e := range b.entries {
+		want := e.DataCentre == "dc-0" && control != "10.0.0.4:7000"
+		if reported := e.lastReported.Equal(now); reported != want || e.readsPlatform != (control == "10.0.0.6:7000") {
+			t.Errorf("%s: reported %v, want %v; reads %v", control, reported, want, e.readsPlatform)
+		}
+	}
+	b.learnEntry(Entry{Name: "new", Control: "10.0.0.100:7000", Started: 1, DataCentre: "dc-0"}, now)
+	later := now.Add(time.Second)
+	b.applySummary(h, later)
+	for control, e := range b.entries {
+		if e.lastReported.Equal(later) {
+			t.Errorf("%s was reported by marks for other members", control)
+		}
+	}
+	a.recordSender(b.ownHeartbeat(a.opt.Self), now)
+	if h := a.ownHeartbeat(b.opt.Self); len(h.Summary.Live) == 0 {
+		t.Error("an entry with other members gets marks")
+	}
+}
--- a/internal/fleet/summary.go
+++ b/internal/fleet/summary.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,8 +23,49 @@
 // Summary is what an entry tells an entry of another data centre about its own.
 type Summary struct {
 	// InFlight holds the requests in flight of all entries of the data centre, encoded like Heartbeat.InFlight.
-	InFlight []byte      `json:"if,omitempty"`
-	Live     []LiveEntry `json:"le"` // the reachable entries of the data centre, the sender included
+	InFlight []byte `json:"if,omitempty"`
+	// Live holds the reachable entries of the data centre, the sender included. It is empty if Marks states them.
+	Live []LiveEntry `json:"le,omitempty"`
+	// Marks states the reachable entries in two bits for each entry that the sender knows, in the order of their
+	// addresses. It is sent to an entry that knows the same members.
+	Marks []byte `json:"mk,omitempty"`
+}
+
+// Bits of Summary.Marks for one entry.
+const (
+	markLive    = 1
+	markReads   = 2 // the entry reads the platform
+	bitsPerMark = 2
+)
+
+// encodeMarks returns the marks of the live entries among all known ones, which are sorted by address.
+func encodeMarks(known []Entry, live []LiveEntry) []byte {
+	out := make([]byte, (len(known)*bitsPerMark+7)/8)
+	for _, l := range live {
+		i, ok := slices.BinarySearchFunc(known, l.Control, func(e Entry, control string) int { return cmp.Compare(e.Control, control) })
+		if !ok {
+			continue
+		}
+		mark := byte(markLive)
+		if l.ReadsPlatform {
+			mark |= markReads
+		}
+		out[i*bitsPerMark/8] |= mark << (i * bitsPerMark % 8)
+	}
+	return out
+}
+
+// decodeMarks returns the live entries that the marks state.
+func decodeMarks(known []Entry, marks []byte) (out []LiveEntry) {
+	for i, e := range known {
+		if i*bitsPerMark/8 >= len(marks) {
+			break
+		}
+		if mark := marks[i*bitsPerMark/8] >> (i * bitsPerMark % 8); mark&markLive != 0 {
+			out = append(out, LiveEntry{Control: e.Control, ReadsPlatform: mark&markReads != 0})
+		}
+	}
+	return out
 }
 
 // LiveEntry is an entry that another one reaches.
@@ -70,12 +113,14 @@
 	return n + len(f.contacts(time.Now()))
 }
 
-// summary returns the summary of this entry's data centre for an entry of another one, or nil if the fleet needs none.
-func (f *Fleet) summary(to Entry, list *targetset.Snapshot, own map[string]int, now time.Time) *Summary {
+// summary returns the summary of this entry's data centre for an entry of another one, or nil if the fleet needs none,
+// and the hash of the members that it refers to.
+func (f *Fleet) summary(to Entry, list *targetset.Snapshot, own map[string]int, now time.Time) (*Summary, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := f.currentRoster()
 	if !f.isRemote(to) || !f.summarizes() {
-		return nil
+		return nil, known.hash
 	}
 	out := &Summary{Live: []LiveEntry{{Control: f.opt.Self.Control, ReadsPlatform: f.opt.ReadsPlatform() && !f.opt.Stopping()}}}
 	sum := map[string]int{}
@@ -88,7 +133,10 @@
 		addCounts(sum, e.inFlight)
 	}
 	out.InFlight = encodeInFlight(list, sum)
-	return out
+	if e := f.entries[to.Control]; e != nil && e.memberHash == known.hash {
+		out.Live, out.Marks = nil, encodeMarks(known.entries, out.Live)
+	}
+	return out, known.hash
 }
 
 func addCounts(sum, counts map[string]int) {
@@ -97,12 +145,17 @@
 	}
 }
 
-// applySummary records the summary of another data centre.
-func (f *Fleet) applySummary(from Entry, s *Summary, now time.Time) {
+// applySummary records the summary of another data centre. Marks that refer to other members than this entry knows are
+// ignored: the sender learns of the difference from the next heartbeat, and then names the entries.
+func (f *Fleet) applySummary(h Heartbeat, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, l := range s.Live {
-		if e := f.entries[l.Control]; e != nil && e.DataCentre == from.DataCentre {
+	live := h.Summary.Live
+	if known := f.currentRoster(); len(live) == 0 && h.Members == known.hash {
+		live = decodeMarks(known.entries, h.Summary.Marks)
+	}
+	for _, l := range live {
+		if e := f.entries[l.Control]; e != nil && e.DataCentre == h.From.DataCentre {
 			e.lastReported, e.lastMentioned, e.readsPlatform = now, now, l.ReadsPlatform
 		}
 	}
