rankgroup: encode the complete map only for agents that lack its base

Each change of a map also encoded and deflated the complete map. Allocated for a change of 20 ranks and 12 layers, of which the encoding of the changes alone takes 0.83 MB: 1.68 MB before, within 1.5 times the encoding of the changes now (TestChangesAreEncodedAlone).

--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -243,23 +244,31 @@
 	}
 }
 
+// mapUpdate returns the update of the agents to the next map.
+func (c *Coordinator) mapUpdate(next [][][]int) (MapUpdate, error) {
+	if c.agentsMap == completeMap {
+		return completeUpdate(next)
+	}
+	return changedUpdate(c.agentsMap, c.currentMap.Slots, next)
+}
+
 // prepare orders all ranks to load a map. Agents that have the map in use get only the changes.
 func (c *Coordinator) prepare(ctx context.Context, next [][][]int) ([]OrderResult, error) {
 	defer func() { c.update = nil }()
-	complete, err := completeUpdate(next)
+	update, err := c.mapUpdate(next)
 	if err != nil {
 		return nil, err
 	}
-	c.update = &complete
-	if c.agentsMap != completeMap {
-		changes, err := changedUpdate(c.agentsMap, c.currentMap.Slots, next)
-		if err != nil {
-			return nil, err
-		}
-		c.update = &changes
-	}
+	c.update = &update
 	order := Order{Op: OpPrepare, Version: c.version}
 	results := c.orderAll(ctx, order, prepareTimeout)
+	if !slices.Contains(results, ResultNoBaseMap) {
+		return results, nil
+	}
+	complete, err := completeUpdate(next)
+	if err != nil {
+		return nil, err
+	}
 	c.update = &complete
 	forEach(len(results), func(rank int) {
 		if results[rank] == ResultNoBaseMap {
