--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -51,10 +48,11 @@
 	Quarantine     *quarantine.Tracker                           // nil for an entry that exchanges no evidence on prompts
 	InFlight       func() map[string]int                         // this entry's requests in flight, by target id
 	ReportInFlight func(process string, inFlight map[string]int) // receives the requests in flight of another entry
-	ReportGroup    func(GroupState)                              // receives the state of an engine group
-	ReadsPlatform  func() bool                                   // whether this process itself reads the platform
-	Stopping       func() bool                                   // whether this process is shutting down
-	Notify         func(Event)                                   // receives each event; must not block
+	// ReportGroup receives the state of an engine group, and reports whether the ranks that it names are known.
+	ReportGroup   func(GroupState) bool
+	ReadsPlatform func() bool // whether this process itself reads the platform
+	Stopping      func() bool // whether this process is shutting down
+	Notify        func(Event) // receives each event; must not block
 }
 
 // Event reports a change in the entry's view of the fleet, or in the state that it learnt from a peer.
@@ -86,6 +84,11 @@
 	entries   map[string]*entryState // by control address
 	ranks     map[string]*rankState  // by name
 	lastCalls map[string]time.Time   // time of the last call, by control address
+	roster    *roster                // the known members; nil if it must be built again
+	fetches   []fetch                // open requests for newer state
+
+	packedMu sync.Mutex
+	packed   []packedState // states that were sent last, the newest last
 }
 
 // entryState is what is known about another entry.
@@ -99,6 +102,9 @@
 	calling       bool           // a call to the entry is open
 	live          bool           // a heartbeat arrived within livenessTimeout
 	readsPlatform bool           // reads the platform itself, reaches it, and is not stopping
+	leavesSent    int64          // number up to which the entry has this one's leaves, as it stated last
+	leavesHave    int64          // number up to which this entry has the other one's leaves
+	memberHash    uint64         // hash of the members that the entry knows, as it stated last
 }
 
 // rankState is what is known about a process beside a rank.
@@ -164,6 +170,7 @@
 		switch {
 		case now.Sub(e.lastMentioned) > memberExpiry:
 			delete(f.entries, addr)
+			f.roster = nil
 		case !e.calling && f.callDue(e, contacts, now):
 			e.calling = true
 			go f.call(ctx, e.Entry)
@@ -172,6 +179,7 @@
 	for name, r := range f.ranks {
 		if now.Sub(r.lastMentioned) > memberExpiry {
 			delete(f.ranks, name)
+			f.roster = nil
 		}
 	}
 	for addr, at := range f.lastCalls {
@@ -214,6 +222,7 @@
 	if s == nil || s.Started < e.Started {
 		s = &entryState{Entry: e}
 		f.entries[e.Control] = s
+		f.roster = nil
 	}
 	s.lastMentioned = now
 	return s
@@ -222,57 +231,13 @@
 // learnRank records a rank's process unless a later incarnation is known. The caller holds the lock.
 func (f *Fleet) learnRank(r Rank, now time.Time) {
 	s := f.ranks[r.Name]
-	if s == nil || s.Started <= r.Started {
-		f.ranks[r.Name] = &rankState{r, now}
-	}
-}
-
-// fetchState requests newer state from an entry and applies it.
-func (f *Fleet) fetchState(ctx context.Context, from Entry, request StateRequest) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var packed StateReply
-	if err := f.opt.Pool.Call(ctx, from.Control, methodState, request, &packed); err != nil {
-		return // the next heartbeat triggers another request; a peer that stays unreachable is reported as lost
-	}
-	reply, err := unpack(packed)
-	if err != nil {
-		f.opt.Notify(Event{Kind: EventMalformed, Peer: from.Name, Err: err})
+	if s != nil && s.Started > r.Started {
 		return
 	}
-	now := time.Now()
-	if reply.Config != nil && f.opt.Tables.Offer(*reply.Config) {
-		f.opt.Notify(Event{Kind: EventConfig, Peer: from.Name, Value: reply.Config.Version})
-	}
-	if request.List.Before(reply.List) {
-		f.opt.Targets.Replace(reply.List, reply.Targets, now)
-		f.opt.Notify(Event{Kind: EventList, Peer: from.Name, Value: reply.List.Revision})
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, e := range reply.Entries {
-		if e.Control != f.opt.Self.Control {
-			f.learnEntry(e, now)
-		}
-	}
-	for _, r := range reply.Ranks {
-		f.learnRank(r, now)
-	}
-}
-
-// serveState returns the parts of this entry's state that are newer than the request states.
-func (f *Fleet) serveState(_ context.Context, in StateRequest) (StateReply, error) {
-	var out State
-	if t := f.opt.Tables.Load(); t != nil && t.Config.Version > in.Config {
-		out.Config = &t.Config
-	}
-	if position, targets := f.opt.Targets.Targets(); in.List.Before(position) {
-		out.List, out.Targets = position, targets
-	}
-	if in.Members {
-		out.Entries, out.Ranks = f.members()
+	if s == nil || s.Rank != r {
+		f.roster = nil
 	}
-	return pack(out)
+	f.ranks[r.Name] = &rankState{r, now}
 }
 
 // serveRank records a rank's process and returns the entries, the ranks of its group and the engine parameters. If the
@@ -280,24 +245,13 @@
 func (f *Fleet) serveRank(_ context.Context, in RankRequest) (RankReply, error) {
 	f.mu.Lock()
 	f.learnRank(in.Rank, time.Now())
+	known := f.currentRoster()
 	f.mu.Unlock()
-	entries, ranks := f.members()
-	out := RankReply{Entries: entries, Engine: f.engineConfig(in.Rank.Engine)}
-	for _, r := range ranks {
-		if r.Group == in.Group {
-			out.Ranks = append(out.Ranks, r)
-		}
-	}
-	content, err := json.Marshal(out)
-	if err != nil {
-		return out, err
-	}
-	digest := xxhash.Sum64(content)
-	if digest == in.Have {
-		return RankReply{Digest: digest}, nil
+	out, err := known.rankReply(in.Group, f.engineConfig(in.Rank.Engine))
+	if err == nil && out.Digest == in.Have {
+		return RankReply{Digest: out.Digest}, nil
 	}
-	out.Digest = digest
-	return out, nil
+	return out, err
 }
 
 // engineConfig returns the engine parameters of the service to which the target at addr belongs. It returns nil if the
@@ -318,7 +272,6 @@
 }
 
 // serveGroup passes on the state of an engine group that its coordinator sent.
-func (f *Fleet) serveGroup(_ context.Context, in GroupState) (struct{}, error) {
-	f.opt.ReportGroup(in)
-	return struct{}{}, nil
+func (f *Fleet) serveGroup(_ context.Context, in GroupState) (GroupReply, error) {
+	return GroupReply{NeedsRanks: !f.opt.ReportGroup(in)}, nil
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -49,8 +49,10 @@
 	List    targetset.Position `json:"lr"` // position of the sender's list of targets
 	Members uint64             `json:"mh"` // hash of the known entries and ranks
 	Leaves  []targetset.Leave  `json:"lv,omitempty"`
-	// InFlight holds the number of requests that the sender has in flight at each target, one byte for each, in the
-	// order of the target ids at the position List.
+	// LeaveRange states which of the sender's leaves Leaves holds, and which leaves of the receiver the sender has.
+	LeaveRange LeaveRange `json:"ln,omitzero"`
+	// InFlight holds the number of requests that the sender has in flight at each target, in the order of the target ids
+	// at the position List. See encodeInFlight.
 	InFlight      []byte `json:"if,omitempty"`
 	ReadsPlatform bool   `json:"rd,omitempty"` // the sender reads the platform itself and reaches it
 	Stopping      bool   `json:"st,omitempty"`
@@ -60,6 +62,19 @@
 	Summary *Summary `json:"sm,omitempty"`
 }
 
+// LeaveRange makes sure that two entries send each other each leave until it has arrived, and not after that. Each entry
+// numbers the changes of its leaves. The numbers of one incarnation mean nothing to another one.
+type LeaveRange struct {
+	// After and Last are the numbers of the changes between which the leaves of a heartbeat lie. The receiver has all up
+	// to Last if it had all up to After.
+	After int64 `json:"a,omitempty"`
+	Last  int64 `json:"l,omitempty"`
+	// Have is the number up to which the sender of the heartbeat has the leaves of the receiver, in the incarnation of
+	// the receiver that started at HaveOf. It is 0 for none.
+	Have   int64 `json:"h,omitempty"`
+	HaveOf int64 `json:"o,omitempty"`
+}
+
 // StateRequest asks an entry for the parts of its state that are newer than the sender's.
 type StateRequest struct {
 	Config  int64              `json:"cv"` // configuration version that the sender has
@@ -105,7 +120,14 @@
 	Epoch     int64       `json:"e"`           // increases each time the group is formed
 	Open      bool        `json:"o"`           // whether the group serves requests
 	Imbalance float64     `json:"i"`           // work of the most loaded rank, times its pace, over the mean; 0 if unknown
-	Ranks     []RankState `json:"r,omitempty"` // by rank; empty if unchanged since the previous state of the same term
+	Ranks     []RankState `json:"r,omitempty"` // by rank; empty if the receiver has them
+	// RanksSeq is the Seq of the first state of the term with these ranks. It is never 0.
+	RanksSeq int64 `json:"rq"`
+}
+
+// GroupReply is the answer of an entry to the state of a group.
+type GroupReply struct {
+	NeedsRanks bool `json:"n,omitempty"` // the entry does not have the ranks that RanksSeq names
 }
 
 // RankState is the state of one rank's engine.
