--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -105,9 +105,11 @@
 func TestNoStepWithTwoMaps(t *testing.T) {
 	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, false, 80, 20) })
 	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, false, 12, 4) })
-	t.Run("engines that ignore fencing numbers", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) })
 }
 
+// TestNoStepWithTwoMapsUnfenced guards against the same with engines that ignore fencing numbers.
+func TestNoStepWithTwoMapsUnfenced(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) }
+
 // checkNoStepWithTwoMaps runs a group under faults, with as many seeds as given for long and for short tests.
 func checkNoStepWithTwoMaps(t *testing.T, size testSize, unfenced bool, seeds, shortSeeds uint64) {
 	if testing.Short() {
