gateway: send the target's head for a stream of which nothing is left

A caller that resumed a stream after its last event got a success without the target's signature: the answer was complete without an event, nothing was sent, and net/http wrote a head of its own.

--- a/internal/gateway/completeness_test.go
+++ b/internal/gateway/completeness_test.go
@@ -415,6 +415,9 @@
 	if got.status != want.status {
 		fail("status %d, want %d", got.status, want.status)
 	}
+	if got.status == 200 && got.header.Get(target.HeaderStamp) == "" {
+		fail("a success without the signature of a target")
+	}
 	switch {
 	case want.ownError:
 		if !ownErrorBody.MatchString(got.body) {
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -269,3 +269,15 @@
 		t.Errorf("status %d, %q", a.status, a.body)
 	}
 }
+
+// TestCallerResumesAfterTheLastEvent guards against a head of the gateway's own, without the target's signature, for a caller
+// that resumes a stream of which nothing is left.
+func TestCallerResumesAfterTheLastEvent(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/safe/x"} {
+		f := newFixture(t, chunkedEvents(""), chunkedEvents(""))
+		a := f.do("POST", path, "prompt", "Last-Event-Id", "9")
+		if a.status != 200 || a.err != nil || a.body != "" || a.header.Get(target.HeaderStamp) == "" {
+			t.Errorf("%s: status %d, error %v, %q, stamp %q", path, a.status, a.err, a.body, a.header.Get(target.HeaderStamp))
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,10 +109,11 @@
 	return s.sendReady(events, "")
 }
 
-// sendReady sends the blocks in ready, which hold a number of events. It returns the ending, or BrokenLeft if the caller
+// sendReady sends the blocks in ready, which hold a number of events, and the head of an answer that is complete without
+// any. It returns the ending, or BrokenLeft if the caller
 // has left.
 func (s *targetStream) sendReady(events int, ending Ending) Ending {
-	if len(s.ready) == 0 {
+	if len(s.ready) == 0 && (s.x.headSent || !ending.Complete()) {
 		return ending
 	}
 	if events > 0 {
@@ -160,9 +161,7 @@
 	ending := s.x.checkCrash(s.ending(err, inEvent))
 	if ending.Complete() {
 		s.ready = append(s.ready, rest...)
-		if len(s.ready) > 0 || !s.x.headSent {
-			return s.sendReady(0, ending)
-		}
+		return s.sendReady(0, ending)
 	}
 	return ending
 }
