--- a/internal/adapter/platformhttp/platform.go
+++ b/internal/adapter/platformhttp/platform.go
@@ -152,7 +152,7 @@
 	default:
 		return response{}, fmt.Errorf("GET %s: %s", url, res.Status)
 	}
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed { // compressed data states its end itself
 		return response{}, fmt.Errorf("GET %s: %w", url, errUnframed)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBytes+1))
--- a/internal/adapter/platformhttp/platform_test.go
+++ b/internal/adapter/platformhttp/platform_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -98,3 +101,22 @@
 		t.Errorf("revision %d, %q without an error", d.Revision, d.Body)
 	}
 }
+
+// TestCompressedListIsRead guards against a list that counts as an answer without an end because net/http has decompressed
+// it and removed its length.
+func TestCompressedListIsRead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		var data bytes.Buffer
+		z := gzip.NewWriter(&data)
+		_, _ = io.WriteString(z, "revision = 9\n")
+		_ = z.Close()
+		w.Header().Set("Revision", "9")
+		w.Header().Set("Content-Encoding", "gzip")
+		w.Header().Set("Content-Length", strconv.Itoa(data.Len()))
+		_, _ = w.Write(data.Bytes())
+	}))
+	defer server.Close()
+	if d, err := (&ConfigSource{URL: server.URL, HTTP: &http.Client{}}).Watch(t.Context(), 8); err != nil || string(d.Body) != "revision = 9\n" {
+		t.Errorf("%q, %v", d.Body, err)
+	}
+}
