mapswitch: wait in tests until all ranks have begun the step of a change

Cause: waitEpoch returned when the first rank had begun a step with the new map. Switch refuses a change with ErrPending until the last rank has begun that step, so that the test asked too early if it was scheduled in between. The refusal is right, and the daemon tries again after it; the fault is in the test.

Change: waitEpoch waits until all ranks use the epoch and none has a change pending, which is stricter than before.

--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -78,7 +78,8 @@
 	return port.ExpertMap{Slots: [][][]int{{{7, 6, 0}, {5, 4, 0}, {3, 2, 0}, {1, 2, 3}}}}
 }
 
-// waitEpoch waits until a rank has begun a step with the epoch, and checks that no step had two maps.
+// waitEpoch waits until all ranks have begun a step with the epoch, and checks that no step had two maps. Until the last
+// rank has begun it, the next change is refused with ErrPending.
 func (g *testGroup) waitEpoch(t *testing.T, epoch int64) {
 	t.Helper()
 	for limit := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
@@ -86,15 +87,25 @@
 		if len(r.Mixed) > 0 {
 			t.Fatalf("steps %v had two maps", r.Mixed)
 		}
-		if r.Epoch == epoch {
+		if r.Epoch == epoch && g.allUse(epoch) {
 			return
 		}
 		if time.Now().After(limit) {
-			t.Fatalf("epoch %d not in use: %+v", epoch, r)
+			t.Fatalf("epoch %d not in use by all ranks: %+v", epoch, r)
 		}
 	}
 }
 
+// allUse reports whether the epoch is the one in use at all ranks, and no change is pending at any of them.
+func (g *testGroup) allUse(epoch int64) bool {
+	for r := range groupShape.Ranks {
+		if s := g.State(r); s.Epoch != epoch || s.Next != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // TestSwitchUnderLossAndRestarts guards against three faults: a change that fails if a message is lost, a restarted
 // participant that forgets its promise or obeys commands before it knows the coordinator, and a coordinator that does
 // not complete the change of its predecessor.
