gateway: an unframed event stream without an event has been broken off on any route

On a route that is no stream route, an event stream with neither a length nor chunks that ended before its first event was passed on as an empty answer with status 200, although docs/platform.md says that such an answer is not complete. mayBeEmpty asked for the route before it asked for the framing.

TestUnframedEventsWithoutAnEvent failed before in 4 of 4 cases: status 200 with an empty body, or with a comment, ended in order. TestBrokenAnswersNeverLookComplete expected the empty answer for the second target's "no event, end of its connection" on /safe/x; it expects 502 there now, which is what the page says, and all other cases as before.

--- a/internal/gateway/completeness_test.go
+++ b/internal/gateway/completeness_test.go
@@ -260,7 +260,8 @@
 // answeredBySecond returns what the caller may see if it has got nothing of the first target.
 func (c brokenCase) answeredBySecond() expected {
 	body := strings.Join(c.second.parts(0), "")
-	if c.second.status == 503 || c.isStream() && c.second.status == 200 && body == "" {
+	noEvent := c.second.events != nil && body == ""
+	if c.second.status == 503 || noEvent && (c.isStream() || c.second.framing == target.FramedByConnection) {
 		return ownAnswer(502, true)
 	}
 	return expected{status: c.second.status, body: body, complete: true, second: true}
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// TestUnframedEventsWithoutAnEvent guards against an event stream that breaks off before its first event and is passed on as
+// an empty answer, because its route is not that of a stream and its framing does not state its end.
+func TestUnframedEventsWithoutAnEvent(t *testing.T) {
+	for name, body := range map[string]string{"nothing": "", "a comment": ": wait\n\n"} {
+		for _, path := range []string{"/safe/x", "/unsafe/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				b := target.Raw(unframedHead+body, false)
+				f := newFixture(t, b, b)
+				if got := f.do("POST", path, "prompt"); got.status == 200 && got.err == nil {
+					t.Errorf("status 200 with %q ended as if it were complete", got.body)
+				}
+			})
+		}
+	}
+}
+
 // TestContinuationWithAnotherSpellingOfItsType guards against a sound continuation that is refused because its head spells
 // the type of the stream in another way.
 func TestContinuationWithAnotherSpellingOfItsType(t *testing.T) {
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -101,11 +101,11 @@
 	return e
 }
 
-// mayBeEmpty reports whether the stream is complete without an event. An empty continuation says that nothing is left only
-// if its framing shows that it is whole, and if no further event has begun before.
+// mayBeEmpty reports whether the stream is complete without an event. Its framing has to show that it is whole. An empty
+// continuation says that nothing is left only if no further event has begun before.
 func (s *targetStream) mayBeEmpty(e Ending) bool {
-	if s.x.route.Kind != routetable.KindStream {
-		return true
+	if e == EndConnection {
+		return false
 	}
-	return s.resumed && !s.x.eventBegun && e != EndConnection
+	return s.x.route.Kind != routetable.KindStream || s.resumed && !s.x.eventBegun
 }
