gateway: only an answer with status 200 continues a stream

docs/platform.md and decision 11 say that a continuation has status 200. The code took any 2xx status with the type of an event stream, also 206, whose body is a part of another answer.

TestContinuationWithAnotherStatus failed before with 201, 202 and 206: their events were joined to the stream, which ended in order.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -167,7 +167,7 @@
 	}
 	x.mayHaveRun = true
 	switch isStream := x.isStream(resp); {
-	case x.headSent && (!isStream || !x.sameContentType(resp)):
+	case x.headSent && (!isStream || resp.Status != http.StatusOK || !x.sameContentType(resp)):
 		return x.noContinuation(resp)
 	case isStream:
 		return x.stream(resp)
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -172,6 +172,18 @@
 	}
 }
 
+// TestContinuationWithAnotherStatus guards against the events of an answer that says by its status that it is not the rest of
+// the stream, and that end the caller's stream as if they were.
+func TestContinuationWithAnotherStatus(t *testing.T) {
+	for _, status := range []string{"201 Created", "202 Accepted", "206 Partial Content"} {
+		head := strings.Replace(unframedHead, "200 OK", status, 1)
+		f := newFixture(t, target.Stream(1, time.Millisecond, true), target.Raw(head+"id: 2\ndata: e2\n\n", false))
+		if got := f.do("POST", "/stream/x", "prompt"); got.err == nil || got.body != "id: 1\ndata: e1\n\n" {
+			t.Errorf("%s: %q with error %v", status, got.body, got.err)
+		}
+	}
+}
+
 // chunkedEvents returns a behaviour that sends an event stream in one chunk and ends it in order.
 func chunkedEvents(events string) target.Behaviour {
 	chunk := ""
