gateway: an event that was dropped has begun

A stream is not complete when another target says that nothing is left, if a further event had begun. Only an event that was cut off counted as begun, not one that arrived whole and was dropped: because the bytes of another answer follow in it, or because it continues a stream without an id. The stream then ended in order without it.

TestEmptyContinuationAfterAnEventThatWasDropped failed before in both cases: status 200 and an end in order after event 1, and without any event.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// TestEmptyContinuationAfterAnEventThatWasDropped guards against a stream that ends as complete since another target says that
+// nothing is left, although a further event has arrived and was not passed on.
+func TestEmptyContinuationAfterAnEventThatWasDropped(t *testing.T) {
+	for name, c := range map[string]struct{ resumeAfter, first string }{
+		"an event with the bytes of a second answer": {"", "id: 1\ndata: e1\n\nid: 2\ndata: e2\nHTTP/1.1 200 OK\r\n\r\n"},
+		"an event without an id":                     {"1", "data: e2\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, chunkedEvents(c.first), chunkedEvents(""))
+			if got := f.do("POST", "/stream/x", "prompt", "Last-Event-Id", c.resumeAfter); got.status == 200 && got.err == nil || f.arrivals() != 2 {
+				t.Errorf("status %d with %q and error %v after %d arrivals", got.status, got.body, got.err, f.arrivals())
+			}
+		})
+	}
+}
+
 // TestEmptyContinuationAfterTheLastEvent guards against a stream that is broken off although another target says that
 // nothing is left.
 func TestEmptyContinuationAfterTheLastEvent(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,10 +90,12 @@
 			break
 		}
 		if b.invalid {
+			s.x.eventBegun = s.x.eventBegun || b.isEvent
 			return s.sendReady(events, BrokenMalformed)
 		}
 		if b.isEvent {
 			if !s.follows(b.id) {
+				s.x.eventBegun = s.x.eventBegun || b.id == ""
 				return s.sendReady(events, BrokenOrder)
 			}
 			s.events++
