gateway: an answer to HEAD on a stream route is no stream

It has no body, so that it has no event, and counted as broken off: the caller got 502, and on a route with retries a second target was asked. isStream looked at the framing for answers of other routes only.

TestHeadOnStreamRoute failed before on both stream routes: 502 after 2 arrivals and after 1.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,11 +180,13 @@
 
 // isStream reports whether the answer is a stream of events. Answers of stream routes need not state their type.
 func (x *exchange) isStream(resp *upstream.Response) bool {
+	if resp.Framing == upstream.FramingNone {
+		return false
+	}
 	if resp.Status == http.StatusOK && x.route.Kind == routetable.KindStream {
 		return true
 	}
-	return resp.Status < http.StatusMultipleChoices && resp.Framing != upstream.FramingNone &&
-		mediaType(resp.Header.Get("Content-Type")) == eventStreamType
+	return resp.Status < http.StatusMultipleChoices && mediaType(resp.Header.Get("Content-Type")) == eventStreamType
 }
 
 // sameContentType reports whether an answer has the media type of the answer that it continues, as far as both state one.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -381,6 +381,17 @@
 	}
 }
 
+// TestHeadOnStreamRoute guards against an answer to HEAD that is dropped since it has no events.
+func TestHeadOnStreamRoute(t *testing.T) {
+	b := target.Raw("HTTP/1.1 200 OK\r\n"+target.HeaderID+": ID\r\n"+target.HeaderStamp+": s\r\nContent-Type: text/event-stream\r\n\r\n", true)
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		f := newFixture(t, b, b)
+		if a := f.do("HEAD", path, ""); a.status != 200 || a.err != nil || a.header.Get(target.HeaderStamp) == "" || f.arrivals() != 1 {
+			t.Errorf("%s: status %d, error %v after %d arrivals", path, a.status, a.err, f.arrivals())
+		}
+	}
+}
+
 // TestAnswerWithoutBody guards against a length of 0 in the answer to HEAD, whose head states the length of the answer to
 // GET, and in answers whose status allows no body.
 func TestAnswerWithoutBody(t *testing.T) {
