upstream: an answer that changes the protocol is none

Requests to targets ask for no change of protocol. A 101 was taken for the whole answer all the same, since it has no body: the caller got it with the target's signature, framed as complete, and the answer that followed was dropped. It now counts as bytes that are no answer.

TestUnaskedUpgradeIsNoAnswer failed before: status 101 for a booking, want 502.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -381,6 +381,17 @@
 	}
 }
 
+// TestUnaskedUpgradeIsNoAnswer guards against a caller that gets the head of a change of protocol for an answer, although no
+// request to a target asks for one and the answer itself may follow.
+func TestUnaskedUpgradeIsNoAnswer(t *testing.T) {
+	head := target.HeaderID + ": ID\r\n" + target.HeaderStamp + ": s\r\n"
+	b := target.Raw("HTTP/1.1 101 Switching Protocols\r\n"+head+"\r\nHTTP/1.1 200 OK\r\n"+head+"Content-Length: 2\r\n\r\nok", true)
+	f := newFixture(t, b, b)
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 502 || f.arrivals() != 1 {
+		t.Errorf("status %d after %d arrivals, want 502", a.status, f.arrivals())
+	}
+}
+
 // TestHeadOnStreamRoute guards against an answer to HEAD that is dropped since it has no events.
 func TestHeadOnStreamRoute(t *testing.T) {
 	b := target.Raw("HTTP/1.1 200 OK\r\n"+target.HeaderID+": ID\r\n"+target.HeaderStamp+": s\r\nContent-Type: text/event-stream\r\n\r\n", true)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -126,7 +126,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
 			framing := framingOf(resp, method)
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: bodyOf(resp, framing, c),
 				Framing: framing, Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
@@ -134,6 +137,16 @@
 	}
 }
 
+var errUnaskedUpgrade = errors.New("answer changes the protocol, which no request asks for")
+
+// checkHead returns an error for a head that net/http accepts although it does not say where its answer ends.
+func checkHead(r *http.Response) error {
+	if r.StatusCode == http.StatusSwitchingProtocols {
+		return errUnaskedUpgrade
+	}
+	return nil
+}
+
 // bodyOf returns the body of an answer whose head was read from the connection.
 func bodyOf(r *http.Response, f Framing, c *conn) io.Reader {
 	if f == FramingChunked {
