upstream: refuse heads with a space in the name of a header

net/http accepts "Content-Length : 4" in an answer and keeps it as a header of another name. The answer then has neither a length nor chunks and ends with its connection, so that one that was cut off counted as complete, and chunks were passed on with their sizes as the body. Such a head is malformed, and the end of its answer can't be known.

TestFramingWithASpaceIsNotIgnored failed before for the length and for the chunks: status 200 with a length of the gateway's own. net/http itself refuses a tab there, which the third case guards.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -392,6 +392,24 @@
 	}
 }
 
+// TestFramingWithASpaceIsNotIgnored guards against a length or chunks that are overlooked because a space follows the name of
+// their header, so that an answer that was cut off counts as one that ends with its connection.
+func TestFramingWithASpaceIsNotIgnored(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length":         "Content-Length : 4\r\n\r\nok",
+		"length and tab": "Content-Length\t: 4\r\n\r\nok",
+		"chunks":         "Transfer-Encoding : chunked\r\n\r\n4\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := target.Raw("HTTP/1.1 200 OK\r\n"+target.HeaderID+": ID\r\n"+target.HeaderStamp+": s\r\n"+rest, false)
+			f := newFixture(t, b, b)
+			if a := f.do("POST", "/unsafe/x", "book"); a.status != 502 {
+				t.Errorf("status %d with %q, want 502", a.status, a.body)
+			}
+		})
+	}
+}
+
 // TestHeadOnStreamRoute guards against an answer to HEAD that is dropped since it has no events.
 func TestHeadOnStreamRoute(t *testing.T) {
 	b := target.Raw("HTTP/1.1 200 OK\r\n"+target.HeaderID+": ID\r\n"+target.HeaderStamp+": s\r\nContent-Type: text/event-stream\r\n\r\n", true)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -137,13 +137,21 @@
 	}
 }
 
-var errUnaskedUpgrade = errors.New("answer changes the protocol, which no request asks for")
+var (
+	errUnaskedUpgrade = errors.New("answer changes the protocol, which no request asks for")
+	errSpaceInName    = errors.New("name of a header has a space")
+)
 
 // checkHead returns an error for a head that net/http accepts although it does not say where its answer ends.
 func checkHead(r *http.Response) error {
 	if r.StatusCode == http.StatusSwitchingProtocols {
 		return errUnaskedUpgrade
 	}
+	for name := range r.Header {
+		if strings.ContainsAny(name, " \t") { // such as "Content-Length : 4", which net/http doesn't take for the length
+			return errSpaceInName
+		}
+	}
 	return nil
 }
 
