platform: a 421 without the mark is no promise

A target's answer states only by the explicit mark that it has not run the request. A 421 was read as that statement by itself: a booking that was answered so got 503, which promises that it never runs, and a route with several attempts would have sent it again. A marked 421 is handled as before.

TestUnmarkedRefusalIsNoPromise, with 421 among its statuses, failed before in the 4 new cases: status 503, want 502.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,7 +156,7 @@
 	switch {
 	case x.ofOtherRequest(a, resp):
 		return x.foreign(resp, errOtherRequest)
-	case a.OtherTarget:
+	case a.OtherTarget && a.NotRun:
 		resp.Discard()
 		return resultOtherTarget, nil
 	case a.NotRun:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -367,7 +367,7 @@
 // TestUnmarkedRefusalIsNoPromise guards against a status that callers read as a promise that their request has not run,
 // when the target that sent it has not promised that. Large answers take another path.
 func TestUnmarkedRefusalIsNoPromise(t *testing.T) {
-	for _, status := range []int{408, 429, 503} {
+	for _, status := range []int{408, 421, 429, 503} {
 		for name, body := range map[string]string{"small": "busy", "large": strings.Repeat("b", 300<<10)} {
 			for _, path := range []string{"/unsafe/x", "/safe/x"} {
 				t.Run(fmt.Sprint(status, " ", name, " ", path), func(t *testing.T) {
@@ -381,6 +381,20 @@
 	}
 }
 
+// TestMarkedMisdirectionIsTriedElsewhere guards against giving up a request, or against not naming it as not run, although the
+// target that has taken over the address states that it has not run it.
+func TestMarkedMisdirectionIsTriedElsewhere(t *testing.T) {
+	other := target.Raw("HTTP/1.1 421 Misdirected\r\n"+target.HeaderID+": ID\r\n"+target.HeaderNotRun+": 1\r\nContent-Length: 0\r\n\r\n", true)
+	f := newFixture(t, other, target.Answer(200, "fine"))
+	if a := f.do("POST", "/safe/x", "book"); a.status != 200 || a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	f = newFixture(t, other, other)
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 503 {
+		t.Errorf("status %d, want 503: the request has not run", a.status)
+	}
+}
+
 // TestUnaskedUpgradeIsNoAnswer guards against a caller that gets the head of a change of protocol for an answer, although no
 // request to a target asks for one and the answer itself may follow.
 func TestUnaskedUpgradeIsNoAnswer(t *testing.T) {
