enginehttp: read data fields without a space

Server-sent events may leave out the space after "data:". Such an event was skipped as if it were no data, so that its text was missing from an answer that ended as complete, with a hash over what was left.

The case "no space in a field" of TestGenerate failed before: no text and no error.

--- a/internal/adapter/enginehttp/engine_test.go
+++ b/internal/adapter/enginehttp/engine_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestGenerate guards against text that is lost or repeated after a broken or stalled stream, an unlimited number of
-// resumes, an engine that sends without end, and a failed request that is not cancelled at the engine.
+// TestGenerate guards against text that is lost or repeated after a broken or stalled stream or for the spelling of its
+// fields, an unlimited number of resumes, an engine that sends without end, and a failed request that is not cancelled at the engine.
 func TestGenerate(t *testing.T) {
 	type streams = []func(http.ResponseWriter, *http.Request, int)
 	cases := map[string]struct {
@@ -106,6 +106,7 @@
 		"broken":              {streams{breakAfter(2), breakAfter(1), sendWhole}, "0 1 2 3 4 ", "[0 2 3]", "", false},
 		"cut in an event":     {streams{cutAfter(2), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
 		"stalled":             {streams{stallAfter(2), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
+		"no space in a field": {streams{sendResponse(200, "data:{\"text\":\"a\",\"tokens\":1}\n\ndata: {\"done\":true}\n\n")}, "a", "[0]", "", false},
 		"broken at once":      {streams{breakAfter(0), sendWhole}, "", "[0]", "broken", true},
 		"broken for ever":     {streams{breakAfter(1), breakAfter(0), breakAfter(0), breakAfter(0), sendWhole}, "0 ", "[0 1 1 1]", "broken", true},
 		"more than asked for": {streams{func(w http.ResponseWriter, _ *http.Request, _ int) { sendTokens(w, 0, 99) }}, "0 1 2 3 4 ", "[0]", "more tokens", true},
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -108,7 +108,7 @@
 
 // readEvent passes the tokens in one line of the stream to emit and reports whether the line ends the stream.
 func readEvent(line string, maxTokens int, received *int, emit func(port.Chunk) error) (done bool, err error) {
-	data, ok := strings.CutPrefix(line, "data: ")
+	data, ok := strings.CutPrefix(line, "data:") // a space may follow, which JSON permits
 	if !ok {
 		return false, nil
 	}
