upstream: a connection that was opened to find a crash has carried no request

After each unframed answer the gateway opens a connection to see whether the target has crashed, and keeps it. Its first answer counted as one on a reused connection, so that an answer without an id was dropped as a possible late copy.

TestAnswerWithoutIDAfterAnUnframedOne failed before: a booking got 502 in place of the target's own 500.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -300,6 +300,19 @@
 	}
 }
 
+// TestAnswerWithoutIDAfterAnUnframedOne guards against an answer without an id that is dropped as a possible late copy, although
+// its connection has carried no request: the gateway opened it to see whether the target has crashed.
+func TestAnswerWithoutIDAfterAnUnframedOne(t *testing.T) {
+	f := newFixture(t, target.Raw(strings.Replace(unframedHead, "text/event-stream", "text/plain", 1)+"whole", false), target.Reset())
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 200 || a.body != "whole" {
+		t.Errorf("status %d, %q", a.status, a.body)
+	}
+	f.first.SetBehaviour(target.Raw("HTTP/1.1 500 Failed\r\n"+target.HeaderStamp+": s\r\nContent-Length: 3\r\n\r\nown", true))
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 500 || a.body != "own" {
+		t.Errorf("status %d, %q, want the target's own 500", a.status, a.body)
+	}
+}
+
 // TestUnframedAnswerOfALeavingTarget guards against a complete answer that is dropped since its target has stopped as
 // planned.
 func TestUnframedAnswerOfALeavingTarget(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -54,6 +54,7 @@
 	received  *limitedReader
 	idleLimit time.Duration // longest idle time after which the connection may be used again
 	idleSince time.Time     // time since which the connection is idle
+	carried   bool          // it has carried a request
 }
 
 func newConn(addr string, c net.Conn) *conn {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -132,7 +132,7 @@
 		if resp.StatusCode >= 200 {
 			framing := framingOf(resp, method)
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: bodyOf(resp, framing, c),
-				Framing: framing, Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
+				Framing: framing, Reused: c.carried, http: resp, conn: c, pool: p}, nil
 		}
 	}
 }
@@ -204,6 +204,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.carried = true
 	r.pool.putIdle(r.conn)
 }
 
