--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,7 +156,7 @@
 	switch {
 	case x.ofOtherRequest(a, resp):
 		return x.foreign(resp, errOtherRequest)
-	case a.OtherTarget:
+	case a.OtherTarget && a.NotRun:
 		resp.Discard()
 		return resultOtherTarget, nil
 	case a.NotRun:
@@ -167,7 +167,7 @@
 	}
 	x.mayHaveRun = true
 	switch isStream := x.isStream(resp); {
-	case x.headSent && (!isStream || !x.sameContentType(resp)):
+	case x.headSent && (!isStream || resp.Status != http.StatusOK || !x.sameContentType(resp)):
 		return x.noContinuation(resp)
 	case isStream:
 		return x.stream(resp)
@@ -180,11 +180,13 @@
 
 // isStream reports whether the answer is a stream of events. Answers of stream routes need not state their type.
 func (x *exchange) isStream(resp *upstream.Response) bool {
+	if resp.Framing == upstream.FramingNone {
+		return false
+	}
 	if resp.Status == http.StatusOK && x.route.Kind == routetable.KindStream {
 		return true
 	}
-	return resp.Status < http.StatusMultipleChoices && resp.Framing != upstream.FramingNone &&
-		mediaType(resp.Header.Get("Content-Type")) == eventStreamType
+	return resp.Status < http.StatusMultipleChoices && mediaType(resp.Header.Get("Content-Type")) == eventStreamType
 }
 
 // sameContentType reports whether an answer has the media type of the answer that it continues, as far as both state one.
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// TestUnframedEventsWithoutAnEvent guards against an event stream that breaks off before its first event and is passed on as
+// an empty answer, because its route is not that of a stream and its framing does not state its end.
+func TestUnframedEventsWithoutAnEvent(t *testing.T) {
+	for name, body := range map[string]string{"nothing": "", "a comment": ": wait\n\n"} {
+		for _, path := range []string{"/safe/x", "/unsafe/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				b := target.Raw(unframedHead+body, false)
+				f := newFixture(t, b, b)
+				if got := f.do("POST", path, "prompt"); got.status == 200 && got.err == nil {
+					t.Errorf("status 200 with %q ended as if it were complete", got.body)
+				}
+			})
+		}
+	}
+}
+
 // TestContinuationWithAnotherSpellingOfItsType guards against a sound continuation that is refused because its head spells
 // the type of the stream in another way.
 func TestContinuationWithAnotherSpellingOfItsType(t *testing.T) {
@@ -156,6 +172,18 @@
 	}
 }
 
+// TestContinuationWithAnotherStatus guards against the events of an answer that says by its status that it is not the rest of
+// the stream, and that end the caller's stream as if they were.
+func TestContinuationWithAnotherStatus(t *testing.T) {
+	for _, status := range []string{"201 Created", "202 Accepted", "206 Partial Content"} {
+		head := strings.Replace(unframedHead, "200 OK", status, 1)
+		f := newFixture(t, target.Stream(1, time.Millisecond, true), target.Raw(head+"id: 2\ndata: e2\n\n", false))
+		if got := f.do("POST", "/stream/x", "prompt"); got.err == nil || got.body != "id: 1\ndata: e1\n\n" {
+			t.Errorf("%s: %q with error %v", status, got.body, got.err)
+		}
+	}
+}
+
 // chunkedEvents returns a behaviour that sends an event stream in one chunk and ends it in order.
 func chunkedEvents(events string) target.Behaviour {
 	chunk := ""
@@ -174,6 +202,22 @@
 	}
 }
 
+// TestEmptyContinuationAfterAnEventThatWasDropped guards against a stream that ends as complete since another target says that
+// nothing is left, although a further event has arrived and was not passed on.
+func TestEmptyContinuationAfterAnEventThatWasDropped(t *testing.T) {
+	for name, c := range map[string]struct{ resumeAfter, first string }{
+		"an event with the bytes of a second answer": {"", "id: 1\ndata: e1\n\nid: 2\ndata: e2\nHTTP/1.1 200 OK\r\n\r\n"},
+		"an event without an id":                     {"1", "data: e2\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, chunkedEvents(c.first), chunkedEvents(""))
+			if got := f.do("POST", "/stream/x", "prompt", "Last-Event-Id", c.resumeAfter); got.status == 200 && got.err == nil || f.arrivals() != 2 {
+				t.Errorf("status %d with %q and error %v after %d arrivals", got.status, got.body, got.err, f.arrivals())
+			}
+		})
+	}
+}
+
 // TestEmptyContinuationAfterTheLastEvent guards against a stream that is broken off although another target says that
 // nothing is left.
 func TestEmptyContinuationAfterTheLastEvent(t *testing.T) {
@@ -256,6 +300,19 @@
 	}
 }
 
+// TestAnswerWithoutIDAfterAnUnframedOne guards against an answer without an id that is dropped as a possible late copy, although
+// its connection has carried no request: the gateway opened it to see whether the target has crashed.
+func TestAnswerWithoutIDAfterAnUnframedOne(t *testing.T) {
+	f := newFixture(t, target.Raw(strings.Replace(unframedHead, "text/event-stream", "text/plain", 1)+"whole", false), target.Reset())
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 200 || a.body != "whole" {
+		t.Errorf("status %d, %q", a.status, a.body)
+	}
+	f.first.SetBehaviour(target.Raw("HTTP/1.1 500 Failed\r\n"+target.HeaderStamp+": s\r\nContent-Length: 3\r\n\r\nown", true))
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 500 || a.body != "own" {
+		t.Errorf("status %d, %q, want the target's own 500", a.status, a.body)
+	}
+}
+
 // TestUnframedAnswerOfALeavingTarget guards against a complete answer that is dropped since its target has stopped as
 // planned.
 func TestUnframedAnswerOfALeavingTarget(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -126,12 +126,33 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
 			framing := framingOf(resp, method)
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: bodyOf(resp, framing, c),
-				Framing: framing, Reused: !c.idleSince.IsZero(), http: resp, conn: c, pool: p}, nil
+				Framing: framing, Reused: c.carried, http: resp, conn: c, pool: p}, nil
+		}
+	}
+}
+
+var (
+	errUnaskedUpgrade = errors.New("answer changes the protocol, which no request asks for")
+	errSpaceInName    = errors.New("name of a header has a space")
+)
+
+// checkHead returns an error for a head that net/http accepts although it does not say where its answer ends.
+func checkHead(r *http.Response) error {
+	if r.StatusCode == http.StatusSwitchingProtocols {
+		return errUnaskedUpgrade
+	}
+	for name := range r.Header {
+		if strings.ContainsAny(name, " \t") { // such as "Content-Length : 4", which net/http doesn't take for the length
+			return errSpaceInName
 		}
 	}
+	return nil
 }
 
 // bodyOf returns the body of an answer whose head was read from the connection.
@@ -183,6 +204,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.carried = true
 	r.pool.putIdle(r.conn)
 }
 
