gateway: a 421 of another target than the one named shows that the request has not run

Cause: since a 421 counted as a statement that the request has not run only with the explicit mark. The users' examples of the wire show the 421 of a target that has taken over an address without the mark, but with its own id; the protocol states that such a target does not run the request. Bookings got 502 in place of another attempt or a 503.

Change: a 421 counts if it is marked, or if it states another id than the one that the request names. One of the named target itself still promises nothing.

TestMisdirectionIsTriedElsewhere/of_another_target failed before: status 502 for a booking, want 503.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,7 +156,7 @@
 	switch {
 	case x.ofOtherRequest(a, resp):
 		return x.foreign(resp, errOtherRequest)
-	case a.OtherTarget && a.NotRun:
+	case x.meantOtherTarget(a):
 		resp.Discard()
 		return resultOtherTarget, nil
 	case a.NotRun:
@@ -228,6 +228,13 @@
 	return a.ID != x.call.ID
 }
 
+// meantOtherTarget reports whether an answer shows that the request, which names its target, has reached another one, which
+// does not run it. The status alone shows nothing.
+func (x *exchange) meantOtherTarget(a Answer) bool {
+	named := a.TargetID != "" && a.TargetID != x.lease.Target.ID
+	return a.OtherTarget && (a.NotRun || named)
+}
+
 // noteTarget records what an answer says about its target besides the request.
 func (x *exchange) noteTarget(a Answer) {
 	if a.Leaving && x.g.Targets.Announced(x.lease.Target.Incarnation()) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -381,17 +381,33 @@
 	}
 }
 
-// TestMarkedMisdirectionIsTriedElsewhere guards against giving up a request, or against not naming it as not run, although the
-// target that has taken over the address states that it has not run it.
-func TestMarkedMisdirectionIsTriedElsewhere(t *testing.T) {
-	other := target.Raw("HTTP/1.1 421 Misdirected\r\n"+target.HeaderID+": ID\r\n"+target.HeaderNotRun+": 1\r\nContent-Length: 0\r\n\r\n", true)
-	f := newFixture(t, other, target.Answer(200, "fine"))
-	if a := f.do("POST", "/safe/x", "book"); a.status != 200 || a.body != "fine" {
-		t.Errorf("%+v", a)
-	}
-	f = newFixture(t, other, other)
-	if a := f.do("POST", "/unsafe/x", "book"); a.status != 503 {
-		t.Errorf("status %d, want 503: the request has not run", a.status)
+// TestMisdirectionIsTriedElsewhere guards against giving up a request, or against not naming it as not run, although the
+// target that has taken over the address states that it has not run it or that it is not the one that was meant.
+func TestMisdirectionIsTriedElsewhere(t *testing.T) {
+	for name, header := range map[string]string{"marked": target.HeaderNotRun + ": 1\r\n", "of another target": target.HeaderInstance + ": i-9\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			other := target.Raw("HTTP/1.1 421 Misdirected\r\n"+target.HeaderID+": ID\r\n"+header+"Content-Length: 0\r\n\r\n", true)
+			f := newFixture(t, other, target.Answer(200, "fine"))
+			if a := f.do("POST", "/safe/x", "book"); a.status != 200 || a.body != "fine" {
+				t.Errorf("%+v", a)
+			}
+			f = newFixture(t, other, other)
+			if a := f.do("POST", "/unsafe/x", "book"); a.status != 503 {
+				t.Errorf("status %d, want 503: the request has not run", a.status)
+			}
+		})
+	}
+}
+
+// TestMisdirectionByTheNamedTarget guards against a promise that a request has not run, made because of the status of the
+// target that the request names.
+func TestMisdirectionByTheNamedTarget(t *testing.T) {
+	named := func(id string) target.Behaviour {
+		return target.Raw("HTTP/1.1 421 Misdirected\r\n"+target.HeaderID+": ID\r\n"+target.HeaderInstance+": "+id+"\r\nContent-Length: 0\r\n\r\n", true)
+	}
+	f := newFixture(t, named("i-1"), named("i-2"))
+	if a := f.do("POST", "/unsafe/x", "book"); a.status != 502 {
+		t.Errorf("status %d, want 502: the request may have run", a.status)
 	}
 }
 
--- a/internal/gateway/headertranslator.go
+++ b/internal/gateway/headertranslator.go
@@ -38,7 +38,8 @@
 	ID          string // of the request that is answered; empty if unstated
 	Stamped     bool   // carries the target's signature
 	NotRun      bool   // the target promises not to have run the request, nor to run it later
-	OtherTarget bool   // the address now belongs to another target
+	OtherTarget bool   // the status says that another target was meant
+	TargetID    string // of the target that answers; empty if unstated
 	Leaving     bool   // the target leaves and wants no further requests
 	// Quiet is the time for which the target wants no request from this process. 0 if it does not ask for this.
 	Quiet   time.Duration
--- a/test/standin/target/target.go
+++ b/test/standin/target/target.go
@@ -130,9 +130,10 @@
 
 // Names of the headers that targets set.
 const (
-	HeaderID     = "X-Camphorbank-Request-Id"
-	HeaderStamp  = "X-Camphorbank-Server-Stamp"
-	HeaderNotRun = "X-Camphorbank-Not-Executed"
+	HeaderID       = "X-Camphorbank-Request-Id"
+	HeaderStamp    = "X-Camphorbank-Server-Stamp"
+	HeaderNotRun   = "X-Camphorbank-Not-Executed"
+	HeaderInstance = "X-Camphorbank-Instance-Id"
 )
 
 func responseHead(status int, id string, more ...string) string {
