listwatch: mend TestHistoryDropped, which let the watch reach the silent store again

Cause: the test, not the package. It silenced the store, deleted the entry, dropped the history with all connections and only then let the store answer again. The HTTP client repeats a watch by itself whose reused connection is closed before an answer. If the repeated watch reached the store before it answered again, it waited until its timeout (3.2 s), which counts as an outage, after which a missing target is kept for another 2.2 s.

Change: the stand-in removes the entry, drops the history and closes the connections in one step, so that TestHistoryDropped sees only the dropped history; its limit stays 5 s. The other order is forced in TestHistoryDroppedWhileSilent with the limit of a silent store.

--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -117,13 +117,27 @@
 
 // TestHistoryDropped guards against a target that stays in use because the store dropped the change that removed it.
 func TestHistoryDropped(t *testing.T) {
+	f := startFollower(t)
+	f.waitFor("first watch", func() bool { return f.store.Calls() >= callsUpToFirstWatch })
+	f.store.DeleteUnseen("servers/i-2")
+	f.waitFor("removal", func() bool { return f.usableTargets() == 4 })
+}
+
+// silentWatchTime is the longest time from the start of a watch that a silent store does not answer to the next call, by
+// which the outage is noticed.
+const silentWatchTime = 3300 * time.Millisecond
+
+// TestHistoryDroppedWhileSilent guards against a target that stays in use because the store cut the connection of the watch,
+// dropped the change that removed the target, and was silent when the watch was sent again. The HTTP client sends it again
+// by itself if its connection has carried earlier calls, so that the outage is noticed when the watch times out.
+func TestHistoryDroppedWhileSilent(t *testing.T) {
 	f := startFollower(t)
 	f.waitFor("first watch", func() bool { return f.store.Calls() >= callsUpToFirstWatch })
 	f.store.SetMode(store.Silent)
-	f.store.Delete("servers/i-2")
-	f.store.DropHistory()
+	f.store.DeleteUnseen("servers/i-2")
+	f.waitFor("second watch", func() bool { return f.store.Calls() > callsUpToFirstWatch })
 	f.store.SetMode(store.Up)
-	f.waitFor("removal", func() bool { return f.usableTargets() == 4 })
+	f.waitForWithin(silentWatchTime+targetset.ReregistrationTime+time.Second, "removal", func() bool { return f.usableTargets() == 4 })
 }
 
 // TestWatchOfSilentStoreTimesOut guards against a watch that a silent store never answers and that the watcher still
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -106,6 +106,17 @@
 	s.Server.CloseClientConnections()
 }
 
+// DeleteUnseen removes a key so that no watch sees the change: it closes all connections, removes the key and discards the
+// history, and serves no call in between.
+func (s *Store) DeleteUnseen(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Server.CloseClientConnections()
+	s.revision++
+	delete(s.items, key)
+	s.droppedRevision, s.history = s.revision, nil
+}
+
 // Copy is the content of a store at one time.
 type Copy struct {
 	items    map[string]Item
