targetset: keep the leaves of listed targets

Cause: the number of stored leaves was bounded at 512, and the one with the oldest position was dropped even if its target was still listed as usable. With more than 512 targets that drain or have said that they leave, the others got requests again, in this entry and after each answer anew.

Change: only leaves of incarnations that are not listed are dropped; the bound is 512 beyond the number of listed targets. Of leaves at one position the one that has not changed for the longest time is dropped, no longer the one just recorded.

--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -42,7 +42,8 @@
 	Final    bool `json:"final,omitempty"` // see leave.final
 }
 
-// maxLeavesKept bounds the number of leaves that are stored. Those with the oldest position are dropped first.
+// maxLeavesKept bounds the number of leaves that are stored beyond one for each listed target. A leave is not dropped while
+// its target is listed, since the target would be used again.
 const maxLeavesKept = 512
 
 // Snapshot is the list at one position. It is immutable.
@@ -244,16 +245,35 @@
 	}
 	l.final = l.final || final
 	s.leaves[i] = l
-	if len(s.leaves) <= maxLeavesKept {
-		return
+	if len(s.leaves) > maxLeavesKept+len(s.listed) {
+		s.dropOldestLeave()
 	}
-	oldest := i
-	for k, other := range s.leaves {
-		if other.position.Before(s.leaves[oldest].position) {
-			oldest = k
+}
+
+// dropOldestLeave drops the leave with the oldest position of those whose incarnation is not listed. Of several at one
+// position it drops the one that has not changed for the longest time. The caller holds the lock.
+func (s *Set) dropOldestLeave() {
+	var oldest Incarnation
+	found := false
+	for i, l := range s.leaves {
+		if t, listed := s.listed[i.ID]; listed && t.Incarnation() == i {
+			continue
 		}
+		if !found || l.olderThan(s.leaves[oldest]) {
+			oldest, found = i, true
+		}
+	}
+	if found {
+		delete(s.leaves, oldest)
+	}
+}
+
+// olderThan reports whether the leave is dropped before another one.
+func (l leave) olderThan(other leave) bool {
+	if l.position != other.position {
+		return l.position.Before(other.position)
 	}
-	delete(s.leaves, oldest)
+	return l.change < other.change
 }
 
 // Expire removes the targets that have not registered again within ReregistrationTime after an outage of the list.
--- a/internal/targetset/targetset_test.go
+++ b/internal/targetset/targetset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -77,6 +78,46 @@
 	return slices.ContainsFunc(s.Snapshot().ByService["s"], func(t *Target) bool { return t.ID == id })
 }
 
+// TestManyTargetsLeaveTogether guards against requests for a target whose leave has been dropped although the target is still
+// listed, because more targets than maxLeavesKept leave at the same time, as in the release of a large fleet.
+func TestManyTargetsLeaveTogether(t *testing.T) {
+	const leaving = maxLeavesKept + 100
+	var draining, ready []Target
+	for i := range int64(leaving) {
+		id := "t" + strconv.FormatInt(i, 10)
+		draining = append(draining, target(id, 1, i+1, true))
+		ready = append(ready, target(id, 1, i+1, false))
+	}
+	t.Run("draining entries", func(t *testing.T) {
+		s := New()
+		s.Replace(at(leaving), draining, time.Now())
+		if n := usable(s); n != 0 {
+			t.Errorf("%d draining targets in use", n)
+		}
+	})
+	t.Run("announced", func(t *testing.T) {
+		s := New()
+		s.Replace(at(leaving), ready, time.Now())
+		for i := range ready {
+			s.Announced(ready[i].Incarnation())
+		}
+		if n := usable(s); n != 0 {
+			t.Errorf("%d targets in use that have said that they leave", n)
+		}
+	})
+	t.Run("announced, then others are removed", func(t *testing.T) {
+		s := New()
+		s.Replace(at(leaving), ready, time.Now())
+		s.Announced(ready[0].Incarnation())
+		for i := range int64(leaving) {
+			s.Leave([]Leave{{Incarnation{"gone", i}, at(leaving + 1 + i), false}})
+		}
+		if n := usable(s); n != leaving-1 {
+			t.Errorf("%d targets in use, want %d", n, leaving-1)
+		}
+	})
+}
+
 // TestRestoredList guards against the loss of what was known when the platform's list is restored from an older copy:
 // a leave after the copy, a target that registered after it, and a restart under the same id. The list is restored
 // twice, and an answer from the first copy arrives after the second one.
