gateway: ask whether the target leaves before the first byte is sent

Cause: a request got its target and then a connection to it, which takes up to 0.4 s, or longer if the process is paused. If the leave of the target became known in that time, from its answer to another request or from a peer, the request was sent all the same.

Change: upstream.Request.MaySend is asked when the connection is open. If the target leaves by then, nothing is sent and the request goes to another target; the attempt does not count against the target.

Measured: TestLeaveDuringConnect failed on both routes before (one request reached the leaving target) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,6 +117,7 @@
 	resultServed      = result{name: "served", final: true, leaseResult: balance.Served}
 	resultCallerLeft  = result{name: "left", final: true, leaseResult: balance.CallerLeft}
 	resultNotSent     = result{name: "unsent", leaseResult: balance.Broken, notSent: true, notRun: true}
+	resultTargetLeft  = result{name: "target-left", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultRefused     = result{name: "refused", leaseResult: balance.Refused, notRun: true}
 	resultOtherTarget = result{name: "other-target", leaseResult: balance.Broken, notRun: true}
 	resultFailed      = result{name: "failed", leaseResult: balance.Failed}
@@ -132,9 +133,15 @@
 			Account: x.accountName(), Target: lease.Target.ID, Wait: left, Priority: x.priority(),
 			ResumeAfter: x.lastEventID,
 		}),
+		// The target may have said that it leaves since it was chosen: opening a connection takes up to upstream.DialTimeout,
+		// and longer if this process was paused.
+		MaySend: func() bool { return !x.g.Targets.IsLeaving(lease.Target.Incarnation()) },
 	}
 	resp, err := x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
 	if err != nil {
+		if errors.Is(err, upstream.ErrMayNotSend) {
+			return resultTargetLeft, err
+		}
 		if upstream.NotSent(err) {
 			if x.ctx.Err() != nil {
 				return x.contextResult(result{notRun: true}), err
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -233,3 +234,28 @@
 		t.Errorf("status %d, %q", a.status, a.body)
 	}
 }
+
+// TestLeaveDuringConnect guards against a request that is sent to a target whose leave has become known, from its answer to
+// another request or from a peer, while the connection for this request was opened. The first connection to the target
+// takes until the leave is known.
+func TestLeaveDuringConnect(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, target.Answer(200, "from the leaving target"), target.Answer(200, "ok"))
+			dial := f.gateway.Pool.Dial
+			f.gateway.Pool.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dial(ctx, network, addr)
+				if addr == f.first.Addr {
+					f.gateway.Targets.Announced(targetset.Incarnation{ID: "i-1"})
+				}
+				return c, err
+			}
+			if a := f.do("POST", path, "book"); a.status != 200 || a.body != "ok" {
+				t.Errorf("%+v", a)
+			}
+			if n := len(f.first.Arrivals()); n != 0 {
+				t.Errorf("%d requests reached the leaving target", n)
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,8 +21,14 @@
 	Body   []byte
 	// AtMostOnce restricts the request to connections that are new or have been idle for less than atMostOnceMaxIdle.
 	AtMostOnce bool
+	// MaySend is asked when the connection is open, immediately before the first byte is sent. If it returns false, the
+	// exchange fails with ErrMayNotSend and nothing is sent. It may be nil.
+	MaySend func() bool
 }
 
+// ErrMayNotSend is the error of a request whose MaySend has returned false.
+var ErrMayNotSend = errors.New("the request may no longer be sent to the target")
+
 // Error is the error of a failed exchange of request and response.
 type Error struct {
 	// Sent means that bytes of the request were sent, so that the target may have run it.
@@ -82,6 +88,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		_ = c.Close()
+		return nil, &Error{Err: ErrMayNotSend}
+	}
 	stop := context.AfterFunc(ctx, c.abandon)
 	resp, err := p.roundTrip(c, r)
 	if err == nil {
