Answer requests that have begun to arrive when a process stops

Cause: once http.Server.Shutdown has been called, net/http drops every request whose head it has not read completely, also on a new connection, and closes kept connections whose next request has arrived in part or is not yet read. The daemon's SetKeepAlivesEnabled(false) did the latter at the start of the drain delay. The caller got no answer and could not know whether its request had run.

Change: package httpdrain lets the server answer what has begun to arrive before it calls Shutdown. Idle connections stay open during the drain delay, with answers that announce their end, and are closed when the listener is. Used for the callers' listener on the platform and for the work listeners of entries and local processes.

Measured: TestStopAnswersRequestThatHasBegun failed in internal/node and test/integration with the old code (no answer: unexpected EOF) and passes. They pass with -race, as do node, gateway and the tests of test/integration on stops, TLS and bad input.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/camphorbank/camphorbank/internal/configsync"
 	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/entry"
+	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/local"
 	"github.com/camphorbank/camphorbank/internal/membership"
 	"github.com/camphorbank/camphorbank/internal/report"
@@ -102,16 +103,17 @@
 	peerServer := d.newPeerServer()
 	go func() { _ = peerServer.Serve(background, opened.control) }()
 	workServer := newServer(handler)
+	workListener := httpdrain.New(opened.work, workServer)
 	operatorServer := newServer(d.operatorHandler())
 	group, serving := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(workServer, opened.work) })
+	group.Go(func() error { return serve(workServer, workListener) })
 	group.Go(func() error { return serve(operatorServer, opened.operators) })
 	<-serving.Done()
 	delay := d.settings.DrainDelay.Duration
 	if ctx.Err() == nil {
 		delay = 0 // a server failed, so a delay would not help clients that can't connect
 	}
-	err = d.shutDown(background, servers{workServer, operatorServer, opened.control, peerServer}, delay)
+	err = d.shutDown(background, servers{workListener, operatorServer, opened.control, peerServer}, delay)
 	d.peerPool.Close()
 	return errors.Join(err, group.Wait())
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -11,6 +11,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/attempt"
+	"github.com/camphorbank/camphorbank/internal/httpdrain"
 )
 
 // stopTimeout bounds a graceful stop. It is longer than the longest deadline of a request and the time that a booking
@@ -24,7 +25,7 @@
 
 // servers holds the servers and the listener that shutDown closes.
 type servers struct {
-	work      *http.Server
+	work      *httpdrain.Listener
 	operators *http.Server
 	control   net.Listener
 	peers     *peer.Server
@@ -41,7 +42,7 @@
 	}
 	// Responses now tell clients to close their connections, so that few requests arrive on a connection that the server
 	// is closing.
-	s.work.SetKeepAlivesEnabled(false)
+	s.work.CloseAfterAnswers()
 	time.Sleep(delay)
 	stopCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
@@ -54,7 +55,7 @@
 }
 
 // finishWork refuses new work and returns when the work in flight has ended.
-func (d *daemon) finishWork(ctx context.Context, work *http.Server) error {
+func (d *daemon) finishWork(ctx context.Context, work *httpdrain.Listener) error {
 	if d.local == nil {
 		d.entry.Stop()
 		return work.Shutdown(ctx)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
@@ -35,13 +36,23 @@
 
 // setBodyDeadline sets the deadline for reading a request's body. The zero time removes it.
 func setBodyDeadline(r *http.Request, t time.Time) error {
-	c, ok := r.Context().Value(connKey{}).(*limitedConn)
+	c, ok := limitedConnOf(r)
 	if !ok {
 		return nil // the connection is not one of a Listener
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// limitedConnOf returns the connection of a Listener on which a request arrived.
+func limitedConnOf(r *http.Request) (*limitedConn, bool) {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil, false
+	}
+	limited, ok := httpdrain.Inner(c).(*limitedConn)
+	return limited, ok
+}
+
 // Listener returns a listener whose connections apply the time limits of the present configuration.
 func Listener(l net.Listener, limits func() routetable.Limits) net.Listener {
 	return &listener{Listener: l, limits: limits}
@@ -94,6 +105,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // headerBytes returns the size of the head of a request.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n") + len(" ") + len("Host") + len(r.Host) +
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/httpdrain"
 )
 
 // refuse answers a request that has not run and will not run. The caller may retry if retryAfter is not 0.
@@ -72,10 +74,11 @@
 	if err != nil {
 		return // the connection has failed already
 	}
-	if limited, ok := c.(*limitedConn); ok {
-		c = limited.Conn
+	inner := httpdrain.Inner(c)
+	if limited, ok := inner.(*limitedConn); ok {
+		inner = limited.Conn
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := inner.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,6 +15,7 @@
 	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
@@ -110,8 +111,9 @@
 	e.fleet.Register(server)
 	server.Handle(methodExplain, peer.TypedHandler(e.explainLocal))
 	callerServer := e.newCallerServer()
+	callerListener := httpdrain.New(gateway.Listener(callers, e.limits), callerServer)
 	group, failed := errgroup.WithContext(ctx)
-	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(gateway.Listener(callers, e.limits))) })
+	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
 	readiness := &http.Server{Handler: e.adapters.ReadinessHandler(e.isReady), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = readiness.Serve(ready) }() // ends with the process
 	go func() { _ = server.Serve(background, control) }()
@@ -122,7 +124,7 @@
 	serveMetrics(background, e.settings.Listen.Metrics, e.serveExplain)
 	<-failed.Done()
 	if ctx.Err() != nil {
-		e.stop(background, callerServer)
+		e.stop(background, callerServer, callerListener)
 	}
 	return group.Wait()
 }
@@ -217,13 +219,13 @@
 
 // stop shuts the process down gracefully. It accepts requests until the platform has noticed that the process is not
 // ready, then waits for the requests in flight. Requests that outlast the grace period are cut off.
-func (e *entry) stop(ctx context.Context, callerServer *http.Server) {
+func (e *entry) stop(ctx context.Context, callerServer *http.Server, callers *httpdrain.Listener) {
 	e.stopping.Store(true)
 	logStopping(e.balance.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, e.current.bounds().Grace-stopMargin)
 	defer cancel()
 	time.Sleep(min(unreadyPropagationDelay, e.current.bounds().Grace/2))
-	if err := callerServer.Shutdown(ctx); err != nil {
+	if err := callers.Shutdown(ctx); err != nil {
 		logCutOff(err, e.balance.InFlight())
 		_ = callerServer.Close()
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -245,3 +246,63 @@
 	first.stop()
 	second.until("report of an unreachable entry", func() bool { e := explain(); return !e.Found && len(e.Unreachable) == 1 })
 }
+
+// TestStopAnswersRequestThatHasBegun guards against a graceful stop that cuts off a request on a kept connection whose first
+// bytes have arrived when the server closes idle connections, and a stop that waits for a connection without a request.
+func TestStopAnswersRequestThatHasBegun(t *testing.T) {
+	st, _ := startPlatform(t, target.Answer(200, "ok"))
+	p := startEntry(t, "e1", st.Addr())
+	p.until("readiness", p.ready)
+	const request = "POST /u/x HTTP/1.1\r\nHost: h\r\n" + target.HeaderID + ": r-1\r\nContent-Length: 1\r\n\r\nx"
+	conns := make([]net.Conn, 2)
+	readers := make([]*bufio.Reader, len(conns))
+	for i := range conns {
+		c, err := net.Dial("tcp", p.settings.Listen.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns[i], readers[i] = c, bufio.NewReader(c)
+		_, _ = io.WriteString(c, request)
+		readWholeAnswer(t, readers[i])
+	}
+	_, _ = io.WriteString(conns[0], request[:20])
+	p.stop()
+	p.until("closed listener", func() bool {
+		c, err := net.Dial("tcp", p.settings.Listen.Callers)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	if _, err := readers[1].ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: %v, want its end", err)
+	}
+	_, _ = io.WriteString(conns[0], request[20:])
+	if resp := readWholeAnswer(t, readers[0]); resp != nil && !resp.Close {
+		t.Error("the answer does not say that the connection is closed")
+	}
+	select {
+	case err := <-p.done:
+		p.done <- err
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the process is still running after its last request ended")
+	}
+}
+
+// readWholeAnswer reads one answer and reports any but 200.
+func readWholeAnswer(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Errorf("no answer: %v", err)
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, %v", resp.StatusCode, err)
+	}
+	return resp
+}
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -1,12 +1,15 @@
 package integration
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	api "github.com/camphorbank/camphorbank/gen/camphorbank"
 	"github.com/camphorbank/camphorbank/internal/localfleet"
@@ -75,3 +78,48 @@
 	body, _ := io.ReadAll(res.Body)
 	return string(body)
 }
+
+// TestStopAnswersRequestThatHasBegun guards against a planned stop that cuts off a request without an answer of which only a
+// part had arrived on a kept connection, at an entry and at a local process.
+func TestStopAnswersRequestThatHasBegun(t *testing.T) {
+	f := newFleet(t)
+	local := startTarget(t, f, "wording-1", "engine", wire.KindDraft, "wording", "-step", "1ms")
+	entry, err := f.StartEntry("entry-1", "zh-1")
+	check(t, err)
+	const request = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, c := range []struct {
+		node *localfleet.Node
+		addr string
+	}{{entry, entry.Callers}, {local, local.VM.Data}} {
+		conn, err := net.Dial("tcp", c.addr)
+		check(t, err)
+		defer conn.Close()
+		check(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+		answers := bufio.NewReader(conn)
+		ask := func(part string) (*http.Response, error) {
+			if _, err := io.WriteString(conn, part); err != nil {
+				return nil, err
+			}
+			res, err := http.ReadResponse(answers, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, res.Body)
+			}
+			return res, err
+		}
+		_, err = ask(request)
+		check(t, err)
+		_, err = io.WriteString(conn, request[:20])
+		check(t, err)
+		check(t, c.node.Signal(syscall.SIGTERM))
+		check(t, localfleet.WaitFor("a closed listener", func() bool {
+			other, err := net.Dial("tcp", c.addr)
+			if err == nil {
+				_ = other.Close()
+			}
+			return err != nil
+		}))
+		if res, err := ask(request[20:]); err != nil || res.StatusCode != http.StatusNotFound || !res.Close {
+			t.Errorf("%s: answer %+v, error %v", c.node.Name, res, err)
+		}
+	}
+}
