enginehttp: let only tokens count against a stall

Cause: each line of an engine's stream restarted the stall timer, also a comment or a blank line.

Change: the timer is restarted when a token has arrived.

Measured: three new cases of TestGenerate failed before (comments only, blank lines only, late first token) and pass, 3 of 3 runs of the package with -race. A fourth, single bytes of one line, passed before as well.

--- a/internal/adapter/enginehttp/engine_test.go
+++ b/internal/adapter/enginehttp/engine_test.go
@@ -83,6 +83,32 @@
 	}
 }
 
+// trickleAfter sends n tokens and then the filler now and then. It ends the stream as if it were complete if the client
+// has not left by then.
+func trickleAfter(n int, filler string) func(http.ResponseWriter, *http.Request, int) {
+	return func(w http.ResponseWriter, r *http.Request, from int) {
+		sendTokens(w, from, from+n)
+		for range 20 {
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+			fmt.Fprint(w, filler)
+			_ = http.NewResponseController(w).Flush()
+		}
+		fmt.Fprint(w, "\ndata: {\"done\":true}\n\n")
+	}
+}
+
+// sendLate sends a comment at once and the whole stream after a pause that is longer than the stall timeout.
+func sendLate(w http.ResponseWriter, r *http.Request, from int) {
+	fmt.Fprint(w, ": waiting\n\n")
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(400 * time.Millisecond)
+	sendWhole(w, r, from)
+}
+
 func sendResponse(status int, body string) func(http.ResponseWriter, *http.Request, int) {
 	return func(w http.ResponseWriter, _ *http.Request, _ int) {
 		w.Header().Set("Retry-After", "7")
@@ -91,8 +117,9 @@
 	}
 }
 
-// TestGenerate guards against text that is lost or repeated after a broken or stalled stream, an unlimited number of
-// resumes, an engine that sends without end, and a failed request that is not cancelled at the engine.
+// TestGenerate guards against text that is lost or repeated after a broken or stalled stream, a stalled stream that goes on
+// because a byte arrives now and then, a stream that is cut before its first token is due, an unlimited number of resumes,
+// an engine that sends without end, and a failed request that is not cancelled at the engine.
 func TestGenerate(t *testing.T) {
 	type streams = []func(http.ResponseWriter, *http.Request, int)
 	cases := map[string]struct {
@@ -106,6 +133,10 @@
 		"broken":              {streams{breakAfter(2), breakAfter(1), sendWhole}, "0 1 2 3 4 ", "[0 2 3]", "", false},
 		"cut in an event":     {streams{cutAfter(2), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
 		"stalled":             {streams{stallAfter(2), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
+		"comments only":       {streams{trickleAfter(2, ": alive\n\n"), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
+		"blank lines only":    {streams{trickleAfter(2, "\r\n"), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
+		"bytes of one line":   {streams{trickleAfter(2, " "), sendWhole}, "0 1 2 3 4 ", "[0 2]", "", false},
+		"late first token":    {streams{sendLate}, "0 1 2 3 4 ", "[0]", "", false},
 		"broken at once":      {streams{breakAfter(0), sendWhole}, "", "[0]", "broken", true},
 		"broken for ever":     {streams{breakAfter(1), breakAfter(0), breakAfter(0), breakAfter(0), sendWhole}, "0 ", "[0 1 1 1]", "broken", true},
 		"more than asked for": {streams{func(w http.ResponseWriter, _ *http.Request, _ int) { sendTokens(w, 0, 99) }}, "0 1 2 3 4 ", "[0]", "more tokens", true},
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -66,11 +66,14 @@
 	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	lines.Split(scanWholeLines)
 	for lines.Scan() {
+		before := *received
 		done, err := readEvent(lines.Text(), r.MaxTokens, received, emit)
 		if done || err != nil {
 			return err
 		}
-		stallTimer.Reset(c.StallTimeout)
+		if *received > before { // comments and blank lines are no sign that the engine works on the request
+			stallTimer.Reset(c.StallTimeout)
+		}
 	}
 	if err := lines.Err(); err != nil {
 		return classifyStreamError(ctx, err)
