gateway: answer callers whose trailers are too slow

Cause: net/http drops the cause of a failed read of trailers. A caller whose chunked body was complete but for its trailers at the deadline got no answer, its connection was closed, and the request was recorded as left by its caller.

Change: a body that cannot be read when its time has passed counts as too slow, whatever the error, and is answered with 408.

Measured: TestSlowInput/trailers failed before (no answer) and passes; the cases with a chunked body and with HTTP/1.0 are new and passed before as well. Package gateway passes with -race.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -161,10 +161,14 @@
 
 // readBodyInTime reads the body within the time limit of the request.
 func (x *exchange) readBodyInTime(limit int64) ([]byte, error) {
-	if err := setBodyDeadline(x.r, x.record.Started.Add(x.timeLimit())); err != nil {
+	end := x.record.Started.Add(x.timeLimit())
+	if err := setBodyDeadline(x.r, end); err != nil {
 		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err != nil && !time.Now().Before(end) {
+		err = errors.Join(err, os.ErrDeadlineExceeded) // net/http drops the cause if trailers cannot be read
+	}
 	if err != nil {
 		return nil, err // the deadline stays, since the server reads the rest of the body before it closes the connection
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -134,9 +134,12 @@
 		want     string // start of what the caller gets
 		at, till time.Duration
 	}{
-		"head": {"POST /unsafe/x HTTP/1.1\r\nHost: ", "", limits.HeaderTimeout, 2 * time.Second},
-		"body": {validHead + "X-Camphorbank-Deadline-Ms: 300\r\nContent-Length: 9\r\n\r\nx", "HTTP/1.1 408", 300 * time.Millisecond, 2 * time.Second},
-		"idle": {validHead + "Content-Length: 1\r\n\r\nx", "HTTP/1.1 200", limits.IdleTimeout * 4 / 5, 2 * time.Second},
+		"head":         {"POST /unsafe/x HTTP/1.1\r\nHost: ", "", limits.HeaderTimeout, 2 * time.Second},
+		"body":         {validHead + "X-Camphorbank-Deadline-Ms: 300\r\nContent-Length: 9\r\n\r\nx", "HTTP/1.1 408", 300 * time.Millisecond, 2 * time.Second},
+		"chunked body": {validHead + "X-Camphorbank-Deadline-Ms: 300\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", "HTTP/1.1 408", 300 * time.Millisecond, 2 * time.Second},
+		"trailers":     {validHead + "X-Camphorbank-Deadline-Ms: 300\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n", "HTTP/1.1 408", 300 * time.Millisecond, 2 * time.Second},
+		"HTTP/1.0":     {strings.Replace(validHead, "1.1", "1.0", 1) + "X-Camphorbank-Deadline-Ms: 300\r\nContent-Length: 9\r\n\r\nx", "HTTP/1.0 408", 300 * time.Millisecond, 2 * time.Second},
+		"idle":         {validHead + "Content-Length: 1\r\n\r\nx", "HTTP/1.1 200", limits.IdleTimeout * 4 / 5, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
