enginehttp: bound the text of a response

Cause: a response was bounded by the number of tokens that the engine states. An event may have 1 MB, so that an engine that states one token for each could make the local process keep up to 100,000 MB for one request.

Change: a response has at most 8 MiB of text on all its connections. After that it fails and is cancelled at the engine, as after too many tokens.

--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -21,6 +21,8 @@
 const (
 	// maxEventBytes bounds one server-sent event of the engine, and each of its reports.
 	maxEventBytes = 1 << 20
+	// maxTextBytes bounds the text of one response. It is 80 bytes for each token of the largest request.
+	maxTextBytes = 8 << 20
 	// maxHeaderBytes bounds the headers of a response.
 	maxHeaderBytes = 16 << 10
 	// dialTimeout bounds connecting to the engine, which runs on the same VM.
@@ -71,14 +73,14 @@
 // after the last token received. It cancels the request at the engine when ctx ends, emit fails or the stream is not
 // resumed.
 func (c *Client) Generate(ctx context.Context, r port.EngineRequest, emit func(port.Chunk) error) error {
-	received := 0
+	var soFar received
 	for resumes := 0; ; resumes++ {
-		err := c.stream(ctx, r, &received, emit)
+		err := c.stream(ctx, r, &soFar, emit)
 		if err == nil {
 			return nil
 		}
 		var streamBroken *brokenError
-		if errors.As(err, &streamBroken) && received > 0 && resumes < maxResumes && sleep(ctx, time.Duration(resumes+1)*resumeBackoff) {
+		if errors.As(err, &streamBroken) && soFar.tokens > 0 && resumes < maxResumes && sleep(ctx, time.Duration(resumes+1)*resumeBackoff) {
 			continue
 		}
 		var notSent *port.NotSentError
--- a/internal/adapter/enginehttp/engine_test.go
+++ b/internal/adapter/enginehttp/engine_test.go
@@ -167,6 +167,27 @@
 	}
 }
 
+// TestTextIsBounded guards against an engine that sends text without end and states few tokens for it. The text is kept until
+// its request has ended.
+func TestTextIsBounded(t *testing.T) {
+	event := "data: {\"text\":\"" + strings.Repeat("x", maxEventBytes/2) + "\",\"tokens\":1}\n\n"
+	s := &scriptedEngine{t: t, canceled: make(chan string, 9)}
+	s.streams = append(s.streams, func(w http.ResponseWriter, r *http.Request, _ int) {
+		for r.Context().Err() == nil {
+			fmt.Fprint(w, event)
+		}
+	})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	cl := New(server.URL)
+	defer cl.http.CloseIdleConnections()
+	size := 0
+	err := cl.Generate(t.Context(), port.EngineRequest{ID: "id", MaxTokens: 1000}, func(c port.Chunk) error { size += len(c.Text); return nil })
+	if !errors.Is(err, errTextTooLong) || size > maxTextBytes || len(s.canceled) != 1 {
+		t.Errorf("%d bytes, error %v, %d cancel requests", size, err, len(s.canceled))
+	}
+}
+
 // TestFailuresBeforeAndAfterTheFirstByte guards against reporting a request as not sent although a part of its response
 // arrived, and against reporting one as sent although no connection to the engine was made.
 func TestFailuresBeforeAndAfterTheFirstByte(t *testing.T) {
--- a/internal/adapter/enginehttp/stream.go
+++ b/internal/adapter/enginehttp/stream.go
@@ -41,19 +41,26 @@
 var (
 	errTokenTimeout  = errors.New("no token in time")
 	errTooManyTokens = errors.New("engine sent more tokens than asked for")
+	errTextTooLong   = errors.New("engine sent too much text")
 	errNoTokenCount  = errors.New("engine sent text without tokens")
 )
 
-// stream sends the request on one connection, passes the tokens of the response to emit and adds their number to
-// received. The engine starts after the tokens already received.
-func (c *Client) stream(ctx context.Context, r port.EngineRequest, received *int, emit func(port.Chunk) error) error {
+// received is what has arrived of a response, on all connections.
+type received struct {
+	tokens int
+	bytes  int // of text
+}
+
+// stream sends the request on one connection, passes the tokens of the response to emit and adds them to soFar. The engine
+// starts after the tokens already received.
+func (c *Client) stream(ctx context.Context, r port.EngineRequest, soFar *received, emit func(port.Chunk) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stallTimer := time.AfterFunc(c.FirstTokenTimeout, func() { cancel(errTokenTimeout) })
 	defer stallTimer.Stop()
 	res, err := c.post(ctx, "/v1/completions", completionRequest{
 		ID: r.ID, Model: r.Model, Adapter: r.Adapter, Prompt: r.Prompt, MaxTokens: r.MaxTokens,
-		Priority: r.Priority, ResumeFrom: *received, Stream: true,
+		Priority: r.Priority, ResumeFrom: soFar.tokens, Stream: true,
 	})
 	if err != nil {
 		return classifyStreamError(ctx, err)
@@ -66,12 +73,12 @@
 	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	lines.Split(scanWholeLines)
 	for lines.Scan() {
-		before := *received
-		done, err := readEvent(lines.Text(), r.MaxTokens, received, emit)
+		before := soFar.tokens
+		done, err := readEvent(lines.Text(), r.MaxTokens, soFar, emit)
 		if done || err != nil {
 			return err
 		}
-		if *received > before { // comments and blank lines are no sign that the engine works on the request
+		if soFar.tokens > before { // comments and blank lines are no sign that the engine works on the request
 			stallTimer.Reset(c.StallTimeout)
 		}
 	}
@@ -110,7 +117,7 @@
 }
 
 // readEvent passes the tokens in one line of the stream to emit and reports whether the line ends the stream.
-func readEvent(line string, maxTokens int, received *int, emit func(port.Chunk) error) (done bool, err error) {
+func readEvent(line string, maxTokens int, soFar *received, emit func(port.Chunk) error) (done bool, err error) {
 	data, ok := strings.CutPrefix(line, "data: ")
 	if !ok {
 		return false, nil
@@ -125,9 +132,12 @@
 	case ev.Tokens <= 0:
 		// Without a token count the stream could not be resumed after the right token.
 		return false, errNoTokenCount
-	case *received+ev.Tokens > maxTokens:
+	case soFar.tokens+ev.Tokens > maxTokens:
 		return false, errTooManyTokens
+	case soFar.bytes+len(ev.Text) > maxTextBytes:
+		return false, errTextTooLong
 	}
-	*received += ev.Tokens
+	soFar.tokens += ev.Tokens
+	soFar.bytes += len(ev.Text)
 	return false, emit(port.Chunk{Text: ev.Text, Tokens: ev.Tokens})
 }
