targetset: tell peers of the leaves of listed targets without a time limit

Cause: a leave was sent to peers for 15 s after it was learned. An entry that started later, or could be reached again later, did not learn that a target had said that it leaves, and sent it requests, since the list need not say so.

Change: the leave of a listed target is sent as long as the target is listed; the numbers of LeaveRange still make it go to each peer once.

--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -169,8 +169,9 @@
 	return l.position.Era == t.Era || eraStart.Before(t.Position)
 }
 
-// leaveShareTime is the time for which a leave is sent to peers. After it, they have read the leave themselves or
-// removed the target.
+// leaveShareTime is the time for which the leave of a target that is not listed is sent to peers. After it, they have removed
+// the target themselves. The leave of a listed target is sent as long as it is listed, since the list need not say that the
+// target leaves, and an entry may start at any time.
 const leaveShareTime = 15 * time.Second
 
 // Leave applies leaves that a peer has seen, except those that a later entry of the list cancels.
@@ -214,8 +215,9 @@
 	return leaving
 }
 
-// Leaves returns the leaves that are to be sent to a peer, which are those learned within leaveShareTime that have
-// changed since the change with the number after; 0 stands for all. It also returns the number of the last change.
+// Leaves returns the leaves that are to be sent to a peer, which are those of listed targets and those learned within
+// leaveShareTime that have changed since the change with the number after; 0 stands for all. It also returns the number of
+// the last change.
 func (s *Set) Leaves(after int64, now time.Time) (out []Leave, last int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,7 +225,7 @@
 		return nil, after
 	}
 	for i, l := range s.leaves {
-		if l.change > after && now.Sub(l.learned) < leaveShareTime {
+		if l.change > after && (s.isListed(i) || now.Sub(l.learned) < leaveShareTime) {
 			out = append(out, Leave{i, l.position, l.final})
 		}
 	}
@@ -250,13 +252,19 @@
 	}
 }
 
+// isListed reports whether the list names the incarnation. The caller holds the lock.
+func (s *Set) isListed(i Incarnation) bool {
+	t, ok := s.listed[i.ID]
+	return ok && t.Incarnation() == i
+}
+
 // dropOldestLeave drops the leave with the oldest position of those whose incarnation is not listed. Of several at one
 // position it drops the one that has not changed for the longest time. The caller holds the lock.
 func (s *Set) dropOldestLeave() {
 	var oldest Incarnation
 	found := false
 	for i, l := range s.leaves {
-		if t, listed := s.listed[i.ID]; listed && t.Incarnation() == i {
+		if s.isListed(i) {
 			continue
 		}
 		if !found || l.olderThan(s.leaves[oldest]) {
--- a/internal/targetset/targetset_test.go
+++ b/internal/targetset/targetset_test.go
@@ -78,6 +78,27 @@
 	return slices.ContainsFunc(s.Snapshot().ByService["s"], func(t *Target) bool { return t.ID == id })
 }
 
+// TestLeaveIsToldToLateEntries guards against an entry that starts, or can be reached again, long after a target has said that
+// it leaves, and that sends it a request because the list does not say so. Leaves of targets that are no longer listed are
+// not sent for longer than leaveShareTime.
+func TestLeaveIsToldToLateEntries(t *testing.T) {
+	s, late := New(), New()
+	for _, set := range []*Set{s, late} {
+		set.Replace(at(5), []Target{target("a", 1, 3, false), target("b", 1, 4, false)}, time.Now())
+	}
+	s.Announced(Incarnation{"a", 1})
+	afterLong := time.Now().Add(4 * leaveShareTime)
+	leaves, _ := s.Leaves(0, afterLong)
+	late.Leave(leaves)
+	if used(late, "a") || !used(late, "b") {
+		t.Errorf("told %v; the leaving target is used: %v", leaves, used(late, "a"))
+	}
+	s.Apply(at(6), []Change{{ID: "a", Position: at(6)}}, time.Now())
+	if leaves, _ := s.Leaves(0, afterLong); len(leaves) > 0 {
+		t.Errorf("leaves %v of targets that are not listed", leaves)
+	}
+}
+
 // TestManyTargetsLeaveTogether guards against requests for a target whose leave has been dropped although the target is still
 // listed, because more targets than maxLeavesKept leave at the same time, as in the release of a large fleet.
 func TestManyTargetsLeaveTogether(t *testing.T) {
