--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -134,6 +135,9 @@
 		"body":                 {ok + "\r\n", "a", "/unsafe/x", 64 << 20, false},
 		"chunks":               {ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", "/unsafe/x", 400 << 20, false},
 		"chunk extension":      {ok + "Transfer-Encoding: chunked\r\n\r\n1;", "a", "/unsafe/x", 8 << 20, true},
+		"trailer lines":        {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", "/unsafe/x", 8 << 20, true},
+		"trailer line":         {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", "a", "/unsafe/x", 8 << 20, true},
+		"body over HTTP/1.0":   {strings.Replace(ok, "1.1", "1.0", 1) + "\r\n", "a", "/unsafe/x", 64 << 20, false},
 		"body of a refusal":    {"HTTP/1.1 503 Busy\r\n" + target.HeaderNotRun + ": 1\r\n\r\n", "a", "/unsafe/x", 8 << 20, true},
 		"event":                {ok + "Content-Type: text/event-stream\r\n\r\ndata: ", "a", "/once/x", 8 << 20, true},
 		"comments in a stream": {ok + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n", ":\n\n", "/once/x", 64 << 20, false},
@@ -233,3 +237,28 @@
 		t.Errorf("status %d, %q", a.status, a.body)
 	}
 }
+
+// TestLeaveDuringConnect guards against a request that is sent to a target whose leave has become known, from its answer to
+// another request or from a peer, while the connection for this request was opened. The first connection to the target
+// takes until the leave is known.
+func TestLeaveDuringConnect(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, target.Answer(200, "from the leaving target"), target.Answer(200, "ok"))
+			dial := f.gateway.Pool.Dial
+			f.gateway.Pool.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dial(ctx, network, addr)
+				if addr == f.first.Addr {
+					f.gateway.Targets.Announced(targetset.Incarnation{ID: "i-1"})
+				}
+				return c, err
+			}
+			if a := f.do("POST", path, "book"); a.status != 200 || a.body != "ok" {
+				t.Errorf("%+v", a)
+			}
+			if n := len(f.first.Arrivals()); n != 0 {
+				t.Errorf("%d requests reached the leaving target", n)
+			}
+		})
+	}
+}
