gateway: a byte order mark is no part of the first field of a stream

The format of server-sent events permits one at the start. The parser took it for a part of the first field's name: a sound stream whose only event has one field counted as one without an event and was broken off, and an event with an id counted as one without, so that the stream could not be continued. The mark of a continuation is left out, as it would stand in the middle of the caller's stream.

TestByteOrderMark failed before in both cases: the body ended with an unexpected EOF. The reference of FuzzEventParser knows the mark; 83,000 executions in 16 s showed no difference. One run of the package's tests on a machine with a load of 38 failed in TestSlowCallerGetsWholeAnswer, which reads 8 MB against the clock; the next one passed.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// TestByteOrderMark guards against a sound stream that is broken off since a byte order mark hides its first field, and against
+// one in the middle of a stream that was continued.
+func TestByteOrderMark(t *testing.T) {
+	const mark = "\ufeff"
+	for name, c := range map[string]struct {
+		path          string
+		first, second target.Behaviour
+		want          string
+	}{
+		"only event": {"/once/x", chunkedEvents(mark + "data: e1\n\n"), target.Reset(), mark + "data: e1\n\n"},
+		"continued": {"/stream/x", target.Raw(unframedHead+mark+"id: 1\ndata: e1\n\nid: 2\nda", false), chunkedEvents(mark + "id: 2\ndata: e2\n\n"),
+			mark + "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := newFixture(t, c.first, c.second).do("POST", c.path, "prompt"); got.err != nil || got.body != c.want {
+				t.Errorf("%q with error %v, want %q", got.body, got.err, c.want)
+			}
+		})
+	}
+}
+
 // TestContinuationWithAnotherSpellingOfItsType guards against a sound continuation that is refused because its head spells
 // the type of the stream in another way.
 func TestContinuationWithAnotherSpellingOfItsType(t *testing.T) {
--- a/internal/gateway/eventparser.go
+++ b/internal/gateway/eventparser.go
@@ -12,6 +12,9 @@
 	maxEventBytes = 256 << 10
 )
 
+// byteOrderMark may stand at the start of a stream and is no part of its first line.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 var errLongEvent = errors.New("stream: an event is too long")
 
 // block is the part of an event stream up to the end of a blank line. It holds an event, or only comments and settings
@@ -32,6 +35,8 @@
 	loneCR    bool // a line has ended with CR alone, so that the stream does not use CRLF
 	current   block
 	inBlock   bool // the current block has a line that is no comment
+	begun     bool // the first line has been read
+	dropMark  bool // the byte order mark is left out, since the stream is to follow another one
 }
 
 // space returns a part of the buffer into which the next bytes of the stream are read. Blocks returned before are no
@@ -63,6 +68,9 @@
 			return block{}, false
 		}
 		p.lineStart, p.scanned = end, end
+		if !p.begun {
+			line = p.readMark(line)
+		}
 		if len(line) > 0 {
 			p.readField(line)
 			continue
@@ -74,6 +82,16 @@
 	}
 }
 
+// readMark returns the first line of the stream without a byte order mark.
+func (p *eventParser) readMark(line []byte) []byte {
+	p.begun = true
+	rest, found := bytes.CutPrefix(line, byteOrderMark)
+	if found && p.dropMark {
+		p.start = len(byteOrderMark)
+	}
+	return rest
+}
+
 // nextLine returns the next complete line without its end, and the position after it.
 func (p *eventParser) nextLine() (line []byte, end int, ok bool) {
 	i := bytes.IndexAny(p.buf[p.scanned:], "\r\n")
@@ -121,6 +139,9 @@
 // rest returns the bytes after the last complete block, and whether they may belong to an event.
 func (p *eventParser) rest() (raw []byte, inEvent bool) {
 	line := bytes.TrimSuffix(p.buf[p.lineStart:], []byte("\r")) // which may be half of CRLF
+	if !p.begun {
+		line = bytes.TrimPrefix(line, byteOrderMark)
+	}
 	comment := len(line) == 0 || line[0] == ':'
 	return p.buf[p.start:], p.inBlock || !comment
 }
--- a/internal/gateway/eventparser_test.go
+++ b/internal/gateway/eventparser_test.go
@@ -110,6 +110,10 @@
 	loneCR, inBlock := false, false
 	lines := splitLines(data)
 	for i, l := range lines {
+		if i == 0 {
+			l.text = strings.TrimPrefix(l.text, "\ufeff")
+			current.raw = data[:len(lines[0].text)-len(l.text)]
+		}
 		last := i == len(lines)-1
 		half := last && l.end == "\r" && (l.text != "" || !loneCR)
 		loneCR = loneCR || l.end == "\r"
@@ -142,7 +146,7 @@
 		"", "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n", "id: 1\ndata: a\n\n: comment\n\nid: 2\nda",
 		"id: 1\n\n\n\ndata\n\n", "retry: 5\n\n: c\n", "data: a\n\n:", "id:1\nid\nevent: e\n\nid\n", ": c\n\n\n", "\n\nid: 3\ndata: x\n\n",
 		"event: e\n", "retry: 5\n: c\n", "id: 1\nno field\n\n",
-		"data: " + strings.Repeat("x", 2*eventBufferBytes) + "\n\nid: 2\ndata: b\n\n",
+		"data: " + strings.Repeat("x", 2*eventBufferBytes) + "\n\nid: 2\ndata: b\n\n", "\ufeffid: 1\ndata: a\n\n", "\ufeff\n\ufeff\n", "\ufeff",
 	}
 	for _, e := range events {
 		for _, end := range []string{"\n", "\r", "\r\n"} {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,7 +26,7 @@
 // stream passes events on as they arrive. It passes on complete events only, so that the stream can be resumed at
 // another target after the last one.
 func (x *exchange) stream(resp *upstream.Response) (result, error) {
-	s := &targetStream{x: x, resp: resp, last: time.Now(), resumed: x.lastEventID != ""}
+	s := &targetStream{x: x, resp: resp, last: time.Now(), resumed: x.lastEventID != "", parser: eventParser{dropMark: x.headSent}}
 	ending, err := s.passOn()
 	resp.Finish(ending.Complete())
 	r := resultServed
