httpdrain: accept the established connections before the listener is closed

Cause: connections that the kernel has established and the process has not accepted are reset when the listener is closed, and the requests on them are lost without an answer. With little processor time the accept loop lags.

Change: Shutdown opens a connection to its own listener and closes the listener when that one has been accepted, for which it waits 1 s at most. Connections are accepted in their order.

--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -21,6 +21,8 @@
 	// reuseTime is the time after an answer for which a connection is kept during a shutdown. A caller whose answer began
 	// before the shutdown has not been told that its connection is closed, and often sends its next request at once.
 	reuseTime = 100 * time.Millisecond
+	// backlogTime bounds the time for which Shutdown waits until the server has accepted the established connections.
+	backlogTime = time.Second
 	// firstRequestTime is the time in which the first byte must arrive on a new connection during a shutdown, as in net/http.
 	firstRequestTime = 5 * time.Second
 )
@@ -102,6 +104,7 @@
 // Shutdown returns its error and leaves the requests in flight to http.Server.Close.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.CloseAfterAnswers()
+	l.awaitBacklog(ctx)
 	l.draining.Store(true)
 	_ = l.Listener.Close() // an error means that it has been closed before
 	if err := l.awaitRequests(ctx); err != nil {
@@ -111,6 +114,40 @@
 	return l.server.Shutdown(ctx)
 }
 
+// awaitBacklog waits until the server has accepted the connections that are established, since those that it has not accepted
+// are reset when the listener is closed. Connections are accepted in their order, so it opens one and waits for that one.
+func (l *Listener) awaitBacklog(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, backlogTime)
+	defer cancel()
+	var d net.Dialer
+	last, err := d.DialContext(ctx, l.Addr().Network(), l.Addr().String())
+	if err != nil {
+		return // the listener is closed, or its backlog is full
+	}
+	defer last.Close()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !l.hasAccepted(last.LocalAddr()) {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hasAccepted reports whether a connection from the address is open.
+func (l *Listener) hasAccepted(remote net.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.RemoteAddr().String() == remote.String() {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitRequests closes connections as they become idle until none is left.
 func (l *Listener) awaitRequests(ctx context.Context) error {
 	tick := time.NewTicker(pollInterval)
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -37,11 +37,25 @@
 	listener *httpdrain.Listener
 }
 
-func startServer(t *testing.T) *server {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// slowListener accepts a connection only after a delay, as in a process that gets little processor time.
+type slowListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(l.delay)
+	return l.Listener.Accept()
+}
+
+func startServer(t *testing.T) *server { return startSlowServer(t, 0) }
+
+func startSlowServer(t *testing.T, acceptDelay time.Duration) *server {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	l := slowListener{inner, acceptDelay}
 	s := &server{Server: &http.Server{ReadHeaderTimeout: 300 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "ok")
@@ -153,3 +167,29 @@
 		})
 	}
 }
+
+// TestWaitingConnectionsAreServed guards against a shutdown that cuts off requests on connections that are established and
+// that the server has not accepted yet.
+func TestWaitingConnectionsAreServed(t *testing.T) {
+	s := startSlowServer(t, 30*time.Millisecond)
+	var callers []*caller
+	for range 5 {
+		c, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, request)
+		callers = append(callers, &caller{c, bufio.NewReader(c)})
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.listener.Shutdown(t.Context()) }()
+	for i, c := range callers {
+		if !c.answered() {
+			t.Errorf("no answer on connection %d", i)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
