--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -123,6 +123,35 @@
 	f.waitFor("removal", func() bool { return f.usableTargets() == 4 })
 }
 
+// TestChangesBetweenPages guards against changes that are lost because they are made while the list is read page by page:
+// of a target that has been read, of one that has not, and of a new one. The store may also drop these changes before the
+// watch after the list asks for them.
+func TestChangesBetweenPages(t *testing.T) {
+	for name, dropped := range map[string]bool{"kept": false, "dropped": true} {
+		t.Run(name, func(t *testing.T) {
+			f := startFollower(t)
+			f.store.AfterFirstPage(func() {
+				f.store.Put("servers/i-0", entryValue("draining"))
+				f.store.Delete("servers/i-1")
+				f.store.Delete("servers/i-4")
+				f.store.Put("servers/i-00", entryValue("ready")) // belongs to the page that has been read
+				f.store.Put("servers/i-9", entryValue("ready"))
+				if dropped {
+					f.store.DropHistory()
+				}
+			})
+			f.store.DeleteUnseen("servers/none") // makes the watcher read the list again
+			f.waitForWithin(silentWatchTime+targetset.ReregistrationTime+time.Second, "changes", func() bool {
+				var ids []string
+				for _, t := range f.targets.Snapshot().ByService["s"] {
+					ids = append(ids, t.ID)
+				}
+				return slices.Equal(ids, []string{"i-00", "i-2", "i-3", "i-9"})
+			})
+		})
+	}
+}
+
 // silentWatchTime is the longest time from the start of a watch that a silent store does not answer to the next call, by
 // which the outage is noticed.
 const silentWatchTime = 3300 * time.Millisecond
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -52,6 +52,7 @@
 	era             string // value of the header HeaderEra; not sent if empty
 	restorations    int
 	mode            Mode
+	afterFirstPage  func() // see AfterFirstPage
 	calls           int
 	changed         chan struct{}
 }
@@ -240,8 +241,25 @@
 	writeJSON(w, i)
 }
 
+// AfterFirstPage calls f once, when the first page of a range of several pages has been read and not yet sent.
+func (s *Store) AfterFirstPage(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.afterFirstPage = f
+}
+
 func (s *Store) serveRange(w http.ResponseWriter, prefix, after string) {
-	writeJSON(w, s.page(prefix, after))
+	p := s.page(prefix, after)
+	if p.HasMore && after == "" {
+		s.mu.Lock()
+		f := s.afterFirstPage
+		s.afterFirstPage = nil
+		s.mu.Unlock()
+		if f != nil {
+			f()
+		}
+	}
+	writeJSON(w, p)
 }
 
 // page is one page of a range.
