gateway: pass on events of any size on routes that are not for streams

Since event streams on any route are read event by event, one with an event of more than 256 KB was dropped on a safe or unsafe route with 502, for a booking that had run. Where the caller need not get whole events only, the start of such an event is sent now; its end still decides whether the answer is complete. Stream routes keep the bound.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -144,6 +144,27 @@
 	}
 }
 
+// TestLargeEventOnOtherRoutes guards against a sound answer that is dropped because it has an event that exceeds the buffer,
+// although its route is none for streams and passes on large answers; and against one that breaks off within that event.
+func TestLargeEventOnOtherRoutes(t *testing.T) {
+	for _, size := range []int{largeBytes, 4 * largeBytes} {
+		for _, end := range []string{"\n", "\r\n"} {
+			events := strings.ReplaceAll("id: 1\ndata: "+strings.Repeat("x", size)+"\ndata: y\n\nid: 2\ndata: e2\n\n", "\n", end)
+			for _, path := range []string{"/safe/x", "/unsafe/x"} {
+				f := newFixture(t, chunkedEvents(events), target.Reset())
+				if a := f.do("POST", path, "prompt"); a.err != nil || a.body != events || f.arrivals() != 1 {
+					t.Errorf("%s: status %d, %d of %d bytes with error %v", path, a.status, len(a.body), len(events), a.err)
+				}
+				cut := events[:size]
+				f = newFixture(t, chunkedEvents(cut), target.Reset())
+				if a := f.do("POST", path, "prompt"); a.err == nil || !strings.HasPrefix(cut, a.body) {
+					t.Errorf("%s: %d bytes of a cut event ended as if they were complete", path, len(a.body))
+				}
+			}
+		}
+	}
+}
+
 // TestUnframedEventsWithoutAnEvent guards against an event stream that breaks off before its first event and is passed on as
 // an empty answer, because its route is not that of a stream and its framing does not state its end.
 func TestUnframedEventsWithoutAnEvent(t *testing.T) {
--- a/internal/gateway/eventparser.go
+++ b/internal/gateway/eventparser.go
@@ -35,6 +35,7 @@
 	loneCR    bool // a line has ended with CR alone, so that the stream does not use CRLF
 	current   block
 	inBlock   bool // the current block has a line that is no comment
+	inLine    bool // the start of the present line has been taken
 	begun     bool // the first line has been read
 	dropMark  bool // the byte order mark is left out, since the stream is to follow another one
 }
@@ -71,6 +72,10 @@
 		if !p.begun {
 			line = p.readMark(line)
 		}
+		if p.inLine {
+			p.inLine = false
+			continue
+		}
 		if len(line) > 0 {
 			p.readField(line)
 			continue
@@ -92,6 +97,18 @@
 	return rest
 }
 
+// takeStart returns the bytes of the present block that have been examined, so that the block may exceed the buffer. The rest
+// of the block follows with next.
+func (p *eventParser) takeStart() []byte {
+	if line := p.buf[p.lineStart:p.scanned]; len(line) > 0 && !p.inLine {
+		p.readField(line)
+		p.inLine = true
+	}
+	taken := p.buf[p.start:p.scanned]
+	p.start, p.lineStart = p.scanned, p.scanned
+	return taken
+}
+
 // nextLine returns the next complete line without its end, and the position after it.
 func (p *eventParser) nextLine() (line []byte, end int, ok bool) {
 	i := bytes.IndexAny(p.buf[p.scanned:], "\r\n")
@@ -109,7 +126,7 @@
 	case i+1 < len(p.buf):
 		p.loneCR = true
 		return line, i + 1, true
-	case p.loneCR && len(line) == 0:
+	case p.loneCR && len(line) == 0 && !p.inLine:
 		return line, i + 1, true // waiting for a LF would delay the event until the next one
 	}
 	p.scanned = i // the next byte tells whether this is half of CRLF
@@ -143,5 +160,5 @@
 		line = bytes.TrimPrefix(line, byteOrderMark)
 	}
 	comment := len(line) == 0 || line[0] == ':'
-	return p.buf[p.start:], p.inBlock || !comment
+	return p.buf[p.start:], p.inBlock || p.inLine || !comment
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -63,6 +64,12 @@
 func (s *targetStream) passOn() (Ending, error) {
 	for {
 		space, err := s.parser.space()
+		if err != nil && s.mayPassOnStart() {
+			if !s.x.sendBlocks(s.resp, s.parser.takeStart()) {
+				return BrokenLeft, nil
+			}
+			continue
+		}
 		if err != nil {
 			return BrokenLongEvent, err
 		}
@@ -80,6 +87,10 @@
 	}
 }
 
+// mayPassOnStart reports whether the start of an event that exceeds the buffer may be sent to the caller. On a stream route
+// it may not, as the caller is to get whole events only. On other routes answers may be large.
+func (s *targetStream) mayPassOnStart() bool { return s.x.route.Kind != routetable.KindStream }
+
 // passOnBlocks sends the complete blocks that have arrived to the caller. It returns an ending if the stream cannot go
 // on.
 func (s *targetStream) passOnBlocks() Ending {
