gateway: an HTTP/1.0 answer that is cut off at the end of a stop is reset

At the end of the grace period the server closes all connections. The connection of such a caller is now reset by whatever closes it, until its answer is complete: the server, a panic in the handler, or the system after the end of the process. Only the first of these has a test.

TestStopBreaksOffHTTP10 failed before for the stream in mid-answer: the connection ended without an error. Its other cases guard complete answers, which must not be reset. One run of the package's tests beside six busy processes failed in TestQuietTargetIsLeftAlone, which asks for quiet of 0.7 s against the clock; the next one passed.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -118,8 +118,12 @@
 // minRetryTime is the remaining time that another attempt needs after a target's failure.
 const minRetryTime = 100 * time.Millisecond
 
-// copyHead copies the head of a target's answer to the caller's response, and records its status and time.
+// copyHead copies the head of a target's answer to the caller's response, and records its status and time. Over HTTP/1.0
+// the answer may end with its connection, which is therefore reset if anything closes it before the answer is complete.
 func (x *exchange) copyHead(resp *upstream.Response) {
+	if c := connOf(x.r); c != nil && !x.r.ProtoAtLeast(1, 1) {
+		c.resetOnClose(true)
+	}
 	x.g.HeaderTranslator.CopyAnswerHeaders(x.w.Header(), resp.Header)
 	if _, ok := resp.Header["Content-Type"]; !ok {
 		x.w.Header()["Content-Type"] = nil // prevents net/http from guessing one
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -221,4 +221,16 @@
 	if x.truncated || x.record.Outcome == OutcomeLeft {
 		x.breakOff() // a caller that has closed only its sending side still reads
 	}
+	x.endInOrder()
+}
+
+// endInOrder lets the connection of an HTTP/1.0 caller end in order, since its answer is complete.
+func (x *exchange) endInOrder() {
+	c := connOf(x.r)
+	if c == nil || x.r.ProtoAtLeast(1, 1) || !x.headSent {
+		return
+	}
+	if err := http.NewResponseController(x.w).Flush(); err == nil {
+		c.resetOnClose(false)
+	}
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -33,11 +33,17 @@
 // connKey is the context key of the connection on which a request arrived.
 type connKey struct{}
 
+// connOf returns the connection on which a request arrived, or nil if it is not one of a Listener.
+func connOf(r *http.Request) *limitedConn {
+	c, _ := r.Context().Value(connKey{}).(*limitedConn)
+	return c
+}
+
 // setBodyDeadline sets the deadline for reading a request's body. The zero time removes it.
 func setBodyDeadline(r *http.Request, t time.Time) error {
-	c, ok := r.Context().Value(connKey{}).(*limitedConn)
-	if !ok {
-		return nil // the connection is not one of a Listener
+	c := connOf(r)
+	if c == nil {
+		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -84,6 +90,18 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// resetOnClose sets whether the connection is reset when it is closed, whoever closes it, also the system after the end of
+// the process. A reset drops the bytes that have not been sent.
+func (c *limitedConn) resetOnClose(on bool) {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		linger := -1 // the system's default
+		if on {
+			linger = 0
+		}
+		_ = t.SetLinger(linger)
+	}
+}
+
 // Write writes to the caller. If the caller has not taken the bytes by the deadline, the connection is reset when it is
 // closed, which drops them. The server closes it before the handler learns of the error.
 func (c *limitedConn) Write(p []byte) (int, error) {
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -176,6 +176,57 @@
 	return c, err
 }
 
+// TestStopBreaksOffHTTP10 guards against an answer over HTTP/1.0 without a length that looks complete to its caller, since the
+// server closes the connection in mid-answer at the end of a planned stop; and against a complete one that is reset.
+func TestStopBreaksOffHTTP10(t *testing.T) {
+	large := strings.Repeat("x", 4<<20)
+	for name, c := range map[string]struct {
+		path   string
+		b      target.Behaviour
+		stop   bool
+		length int // of the body
+	}{
+		"stream in mid-answer":        {"/once/x", target.Stream(100, 20*time.Millisecond, false), true, 0},
+		"complete stream":             {"/once/x", target.Stream(3, time.Millisecond, false), false, 3 * len("id: 1\ndata: e1\n\n")},
+		"complete answer":             {"/unsafe/x", target.Answer(200, "whole"), false, len("whole")},
+		"complete and large":          {"/unsafe/x", target.Raw(okHead+"\r\n"+large, false), false, len(large)},
+		"complete and large, chunked": {"/unsafe/x", target.Raw(okHead+"Transfer-Encoding: chunked\r\n\r\n400000\r\n"+large+"\r\n0\r\n\r\n", true), false, len(large)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, c.b, c.b)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := gateway.NewServer(f.gateway)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = server.Serve(gateway.Listener(l, func() routetable.Limits { return routetable.Limits{} }))
+			}()
+			defer func() {
+				_ = server.Close()
+				<-done
+			}()
+			conn := callOnConn(t, l.Addr().String(), c.path, "HTTP/1.0")
+			r := bufio.NewReader(conn)
+			if _, err := r.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			if c.stop {
+				_ = server.Close()
+			}
+			all, err := io.ReadAll(r)
+			if c.stop != errors.Is(err, syscall.ECONNRESET) || !c.stop && err != nil {
+				t.Fatalf("ended with %v after %d bytes; a reset is due: %v", err, len(all), c.stop)
+			}
+			if _, body, _ := strings.Cut(string(all), "\r\n\r\n"); !c.stop && len(body) != c.length {
+				t.Errorf("%d bytes, want %d", len(body), c.length)
+			}
+		})
+	}
+}
+
 // TestReadyAnswerIsDeliveredLate guards against an answer that is ready just before the deadline and is cut off since its
 // caller reads it after the deadline.
 func TestReadyAnswerIsDeliveredLate(t *testing.T) {
