platformhttp: an unasked "not modified" is no list and no document

A 304 to a request that names no entity tag was taken for the list that the process has, which at its start is an empty one without an error. Reading the configuration service took it for an answer too.

TestUnaskedNotModified failed before for both: a list of 0 VMs and a document without a body, without errors.

--- a/internal/adapter/platformhttp/platform.go
+++ b/internal/adapter/platformhttp/platform.go
@@ -55,7 +55,11 @@
 
 // Read returns the current document.
 func (c *ConfigSource) Read(ctx context.Context) (port.Document, error) {
-	return c.get(ctx, c.URL, 0)
+	d, err := c.get(ctx, c.URL, 0)
+	if err == nil && d.Body == nil {
+		err = errUnaskedNotModified
+	}
+	return d, err
 }
 
 // Watch waits until the service's revision differs from after and returns the new document. If the revision does not
@@ -110,6 +114,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if res.notModified && v.etag == "" {
+		return nil, errUnaskedNotModified
+	}
 	if res.notModified {
 		return v.lastVMs, nil
 	}
@@ -131,6 +138,9 @@
 // it.
 var errUnframed = errors.New("answer without a length or chunks")
 
+// errUnaskedNotModified is the error of an answer that refers to a value that the request did not name.
+var errUnaskedNotModified = errors.New("not modified, in answer to a request without a condition")
+
 // get sends a GET request, conditional on the entity tag if there is one, and reads a body of at most maxBytes bytes.
 func get(ctx context.Context, client *http.Client, url, etag string, maxBytes int64) (response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/adapter/platformhttp/platform_test.go
+++ b/internal/adapter/platformhttp/platform_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// TestUnaskedNotModified guards against an answer without a body that is taken for the list or the document, although the
+// request did not say which one the process has.
+func TestUnaskedNotModified(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }))
+	defer srv.Close()
+	if vms, err := (&VMList{URL: srv.URL, HTTP: NewClient()}).List(t.Context()); err == nil {
+		t.Errorf("a list of %d VMs without an error", len(vms))
+	}
+	if d, err := (&ConfigSource{URL: srv.URL, HTTP: NewClient()}).Read(t.Context()); err == nil {
+		t.Errorf("document %+v without an error", d)
+	}
+}
+
 // TestConfig checks the URL of a watch, and guards against accepting a document that is too large or has no revision.
 func TestConfig(t *testing.T) {
 	var requestedURL string
