servicehttp: a response without a length or chunks of a crashed service is incomplete

The operating system closes the connections of a process that crashes in order, so that a part of such a response was taken for all of it, on the way of camphorbank's own interface. The service is asked for a connection after such a response, as the gateway does with targets; if it refuses, the outcome of the call is unknown. A service that lives on and closes the connection early still can't be told from one that has answered.

TestUnframedResponseOfACrashedService failed before in the case of a crash: status 200 with the part of the body. Its other case guards sound responses.

--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/port"
@@ -64,5 +65,29 @@
 	if len(text) > maxBodyBytes {
 		return port.ServiceResponse{}, errors.New("response of the service is too large")
 	}
+	if isUnframed(res) && c.crashed(ctx) {
+		return port.ServiceResponse{}, errCrashed
+	}
 	return port.ServiceResponse{Status: res.StatusCode, Body: string(text), RetryAfter: port.RetryAfter(res.Header, time.Now())}, nil
 }
+
+var errCrashed = errors.New("service ended before the end of its response was certain")
+
+// isUnframed reports whether the response has neither a length nor chunks, so that its end is known only from that of its
+// connection.
+func isUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
+// crashed reports whether the service refuses connections, as it does when its process has ended. The operating system
+// closes the connections of a process that crashes in order.
+func (c *Client) crashed(ctx context.Context) bool {
+	base, err := url.Parse(c.base)
+	if err != nil {
+		return false
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.WithoutCancel(ctx), "tcp", base.Host)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
--- a/internal/adapter/servicehttp/service_test.go
+++ b/internal/adapter/servicehttp/service_test.go
@@ -1,9 +1,11 @@
 package servicehttp
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -62,6 +64,37 @@
 	}
 }
 
+// TestUnframedResponseOfACrashedService guards against a part of a response that is taken for all of it, since the operating
+// system closes the connection of a crashed service in order; and against a sound response without a length that is dropped.
+func TestUnframedResponseOfACrashedService(t *testing.T) {
+	for name, crashes := range map[string]bool{"crashed": true, "alive": false} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbooked")
+				if crashes {
+					_ = l.Close()
+				}
+			}()
+			res, err := New("http://"+l.Addr().String()).Call(t.Context(), "reserve", "slot")
+			var notSent *port.NotSentError
+			if (err != nil) != crashes || errors.As(err, &notSent) || !crashes && res.Body != "booked" {
+				t.Errorf("%+v, %v", res, err)
+			}
+		})
+	}
+}
+
 // TestServiceNotReached guards against a call that is not reported as not sent although no connection was made. Its
 // outcome would become unknown where it is certain that nothing ran.
 func TestServiceNotReached(t *testing.T) {
