gateway: a continuation must not leave out an event that had begun

Cause: ids may have gaps, so that a continuation was accepted with any id above the last one that the caller had. If the first target had broken off inside the event after that, its id was known, and a continuation that began behind it ended the stream as complete without that event.

Change: the id of an event that was cut off is kept, and no event behind it follows. An id of which only a part has arrived is not known.

TestContinuationWithoutABegunEvent failed before in two of five cases (a later event; ids that are no numbers): the body ended in order without event 2. TestBrokenAnswersNeverLookComplete expected the gap to be accepted after a break inside an event; it expects a break now where the event's id has arrived, and compares the whole body of each answer that ends in order.

--- a/internal/gateway/completeness_test.go
+++ b/internal/gateway/completeness_test.go
@@ -247,6 +247,12 @@
 		want.anyEnd = c.second.framing != target.FramedByConnection && c.place.bytes > 0 && c.way == target.ByReset
 		return want
 	}
+	if c.place.bytes > 0 && ids[0] > firstEvents[c.place.parts] {
+		if c.way != target.ByReset {
+			return want // the event that had begun is left out
+		}
+		want.anyEnd, want.prefix = true, true // a reset may take its id with it
+	}
 	for _, id := range ids {
 		if id <= last {
 			return want
@@ -426,8 +432,8 @@
 			fail("body %q, want an error of the gateway", got.body)
 		}
 	case want.prefix:
-		if !strings.HasPrefix(want.body, got.body) {
-			fail("the body is not the start of the target's")
+		if !strings.HasPrefix(want.body, got.body) || complete && got.body != want.body {
+			fail("the body is not the target's, or the start of it if it broke off")
 		}
 	case got.body != want.body:
 		fail("body %.300q, want %.300q", got.body, want.body)
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -244,6 +244,34 @@
 	}
 }
 
+// TestContinuationWithoutABegunEvent guards against a stream that ends as complete without an event that had begun, since the
+// second target goes on after it. Ids may have gaps otherwise.
+func TestContinuationWithoutABegunEvent(t *testing.T) {
+	const first = "id: 1\ndata: e1\n\n"
+	for name, c := range map[string]struct {
+		cut, second string
+		sound       bool
+	}{
+		"the next event":            {"id: 2\nda", "id: 2\ndata: e2\n\nid: 4\ndata: e4\n\n", true},
+		"a gap before the cut":      {"id: 3\nda", "id: 3\ndata: e3\n\n", true},
+		"a later event":             {"id: 2\nda", "id: 3\ndata: e3\n\n", false},
+		"another id than a number":  {"id: b\nda", "id: c\ndata: ec\n\n", false},
+		"the id itself was cut off": {"id: 2", "id: 3\ndata: e3\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, target.Raw(unframedHead+first+c.cut, false), chunkedEvents(c.second))
+			got := f.do("POST", "/stream/x", "prompt")
+			want := first
+			if c.sound {
+				want += c.second
+			}
+			if (got.err == nil) != c.sound || got.body != want {
+				t.Errorf("%q with error %v, want %q", got.body, got.err, want)
+			}
+		})
+	}
+}
+
 // TestEmptyContinuationAfterAnEventThatWasDropped guards against a stream that ends as complete since another target says that
 // nothing is left, although a further event has arrived and was not passed on.
 func TestEmptyContinuationAfterAnEventThatWasDropped(t *testing.T) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -89,6 +89,7 @@
 	lastEventID   string             // id of the last event that the caller has
 	unnumbered    bool               // the last event that was sent has no id, so that the stream cannot be resumed after it
 	eventBegun    bool               // an event after lastEventID has begun, so that the stream does not end there
+	begunID       string             // id of that event; empty if it is not known
 	mayHaveRun    bool               // a target may have run the request
 	truncated     bool               // the answer has begun and cannot be completed, so the caller's connection is aborted
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,14 +36,25 @@
 		r.ending = ending
 		x.record.setOutcome(OutcomeServed, "")
 	} else {
-		_, inEvent := s.parser.rest()
-		x.eventBegun = x.eventBegun || inEvent
+		s.noteCutEvent()
 		r = x.brokenResult(ending)
 	}
 	r.events = s.events
 	return r, err
 }
 
+// noteCutEvent records an event of which the end has not arrived. It is the next one after the last event that the caller
+// has.
+func (s *targetStream) noteCutEvent() {
+	if _, inEvent := s.parser.rest(); !inEvent {
+		return
+	}
+	s.x.eventBegun = true
+	if id := s.parser.current.id; id != "" {
+		s.x.begunID = id
+	}
+}
+
 // brokenResult returns the result of an attempt whose answer is incomplete. If the request has reached its time limit or
 // its caller has left, that is why the answer ended.
 func (x *exchange) brokenResult(e Ending) result {
@@ -123,8 +134,7 @@
 }
 
 // sendReady sends the blocks in ready, which hold a number of events, and the head of an answer that is complete without
-// any. It returns the ending, or BrokenLeft if the caller
-// has left.
+// any. It returns the ending, or BrokenLeft if the caller has left.
 func (s *targetStream) sendReady(events int, ending Ending) Ending {
 	if len(s.ready) == 0 && (s.x.headSent || !ending.Complete()) {
 		return ending
@@ -151,20 +161,25 @@
 	s.last = now
 }
 
-// follows reports whether an event with the id may be sent to the caller now. Ids increase and may have gaps. Those that
-// are no numbers can only be told from the one before them. A continuation has to begin with an id, as nothing else shows
-// that the caller does not have its events already.
+// follows reports whether an event with the id may be sent to the caller now. Ids increase and may have gaps, but an event
+// that has begun must not be left out. A continuation has to begin with an id, as nothing else shows that the caller does
+// not have its events already.
 func (s *targetStream) follows(id string) bool {
-	last := s.x.lastEventID
+	last, begun := s.x.lastEventID, s.x.begunID
 	if id == "" || last == "" {
 		return s.numbered || !s.resumed
 	}
+	return isAfter(id, last) && (begun == "" || !isAfter(id, begun))
+}
+
+// isAfter reports whether an id is that of a later event. Ids that are no numbers can only be told from each other.
+func isAfter(id, other string) bool {
 	n, err := strconv.ParseUint(id, 10, 64)
-	before, lastErr := strconv.ParseUint(last, 10, 64)
-	if err == nil && lastErr == nil {
+	before, otherErr := strconv.ParseUint(other, 10, 64)
+	if err == nil && otherErr == nil {
 		return n > before
 	}
-	return id != last
+	return id != other
 }
 
 // end returns the ending of a stream that was read until err. It sends what follows the last block if that is no part of
@@ -181,7 +196,7 @@
 
 // noteEvent records an event that is sent to the caller.
 func (x *exchange) noteEvent(id string) {
-	x.eventBegun = false
+	x.eventBegun, x.begunID = false, ""
 	if x.unnumbered = id == ""; !x.unnumbered {
 		x.lastEventID = id
 	}
