rankgroup: state the expected orders to engines that ignore fencing numbers

Change: orders to these engines state how many orders the engine must have accepted, and it refuses others. A switch takes place once all ranks are armed; it is cancelled once a rank read as not armed has accepted a newer version. Ranks are disarmed after the latter only. The loaded version is kept apart from the highest one seen. The wait for earlier holds to pass, which rested on the speed of the group, is gone. A coordinator whose pending switch was followed by another one's no longer waits for it forever.

The stand-in implements the expected count as the engines do.

--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -109,10 +109,12 @@
 
 // Results of orders.
 const (
-	ResultDone     OrderResult = "done"
-	ResultConflict OrderResult = "conflict" // refused, and no earlier attempt can still be carried out
-	ResultFenced   OrderResult = "fenced"   // a higher fencing number has been used
-	ResultUnknown  OrderResult = "unknown"  // may have been carried out or may still be
+	ResultDone OrderResult = "done"
+	// ResultConflict means that the last attempt was refused. No earlier attempt can still be carried out, unless the
+	// engine ignores fencing numbers.
+	ResultConflict OrderResult = "conflict"
+	ResultFenced   OrderResult = "fenced"  // a higher fencing number has been used
+	ResultUnknown  OrderResult = "unknown" // may have been carried out or may still be
 	// ResultNoBaseMap means that the order was not sent to the engine, since its map is an update of another map that
 	// the agent does not have.
 	ResultNoBaseMap OrderResult = "no-base-map"
@@ -124,7 +126,7 @@
 }
 
 // Order sends an order to the engine and retries it until it is answered. Each attempt has a higher fencing number than
-// the one before, so that no earlier attempt can be carried out once one is answered.
+// the one before, so that an engine that enforces fencing numbers carries out no earlier attempt once it has answered one.
 func (a *Agent) Order(ctx context.Context, r OrderRequest) (OrderReply, error) {
 	if r.Map != nil {
 		var err error
--- a/internal/rankgroup/branch.go
+++ b/internal/rankgroup/branch.go
@@ -145,6 +145,9 @@
 	request := BranchOrderRequest{Order: o, Map: c.update, Ranks: b.ranks, TimeoutMs: limit.Milliseconds()}
 	for _, rank := range b.ranks {
 		request.Fences = append(request.Fences, c.nextFence(rank))
+		if c.opt.Unfenced {
+			request.Expects = append(request.Expects, c.status[rank].Sequence)
+		}
 	}
 	reply, err := c.opt.Ranks.OrderBranch(ctx, b.ranks[b.relay], request)
 	if err != nil || len(reply.Results) != len(b.ranks) {
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -95,12 +95,12 @@
 	termMs       int64 // time part of the term, in milliseconds since termEpochUnixMs
 	term         int64
 	orders       []int64 // orders sent in this term, by rank
-	termStep     int64   // last step that the group had begun at the start of this term
 	needsNewTerm bool    // earlier orders may still be carried out, or no term has been started
 	urgent       bool    // the next round must start without a delay, since the group may be held
 
 	epoch      int64
 	version    int64 // highest version that any rank has had
+	loading    int64 // version of the map that this coordinator has last ordered the ranks to load
 	currentMap port.ExpertMap
 	mapKnown   bool     // currentMap is the map in use
 	pending    int64    // version that all ranks have confirmed for a step that has not begun; 0 for none
@@ -171,9 +171,6 @@
 	if !c.learnMap(ctx) {
 		return
 	}
-	if c.opt.Unfenced && !c.earlierHoldsPassed() {
-		return
-	}
 	p, ok := c.proposePlan()
 	if !ok {
 		return
@@ -314,6 +311,9 @@
 		if s.Held != nil {
 			c.needsNewTerm = true // an order that was believed to be refused was carried out
 		}
+		if s.Map > c.pending {
+			c.needsNewTerm = true // another coordinator has switched the group again
+		}
 	}
 	if inUse == c.opt.Size {
 		c.pending = 0
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -108,7 +109,73 @@
 }
 
 // TestNoStepWithTwoMapsUnfenced guards against the same with engines that ignore fencing numbers.
-func TestNoStepWithTwoMapsUnfenced(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) }
+func TestNoStepWithTwoMapsUnfenced(t *testing.T) {
+	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) })
+	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, true, 12, 4) })
+}
+
+// TestNoStepWithTwoMapsOfTwoCoordinators guards against the same while two coordinators are active all the time, reach the
+// engines past the agents of the ranks, and pause between a decision and its order. Only the engines can then refuse the
+// orders of the other coordinator. It also guards against a group that stays held after one of the two has ended.
+func TestNoStepWithTwoMapsOfTwoCoordinators(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 10
+	}
+	switched := int64(0)
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, seed, smallSize)
+			f.g.Late, f.g.Unfenced, f.unfenced = lateOrderShare(seed), true, true
+			f.runTwoCoordinators(seed, 20*time.Second, 20*time.Second)
+			f.checkNoMixedStep(seed)
+			switched += f.switched.Load()
+		})
+	}
+	if switched < int64(seeds) {
+		t.Errorf("%d switches in %d runs: too few to test the switch", switched, seeds)
+	}
+}
+
+// runTwoCoordinators runs two coordinators for the first span and one of them for the second span.
+func (f *testFleet) runTwoCoordinators(seed uint64, together, alone time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first, stopFirst := context.WithTimeout(ctx, together)
+	defer stopFirst()
+	go f.g.Run(ctx)
+	go f.injectFaults(first, rand.New(rand.NewPCG(seed, 3)))
+	go f.coordinate(first, 0, always, pausingPastAgents(seed, 4))
+	go f.coordinate(ctx, 1, always, pausingPastAgents(seed, 5))
+	time.Sleep(together + alone/2)
+	f.g.SetLateShare(0)
+	before := f.g.Step()
+	time.Sleep(alone / 2)
+	if f.g.Step() == before {
+		f.t.Errorf("seed %d: the group is held before step %d", seed, before+1)
+	}
+	cancel()
+	time.Sleep(15 * time.Second) // until all late orders have been carried out
+}
+
+// pausingPastAgents returns a function that declares all agents unreachable, and pauses before some calls.
+func pausingPastAgents(seed, stream uint64) func(rank int) bool {
+	const longestPauseMs = 200
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, stream))
+	pause := func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if rng.IntN(4) > 0 {
+			return 0
+		}
+		return time.Duration(rng.IntN(longestPauseMs)) * time.Millisecond
+	}
+	return func(int) bool {
+		time.Sleep(pause())
+		return true
+	}
+}
 
 // checkNoStepWithTwoMaps runs a group under faults, with as many seeds as given for long and for short tests.
 func checkNoStepWithTwoMaps(t *testing.T, size testSize, unfenced bool, seeds, shortSeeds uint64) {
--- a/internal/rankgroup/engine.go
+++ b/internal/rankgroup/engine.go
@@ -11,7 +11,8 @@
 //
 // An engine may carry out an order seconds after the request for it has timed out. Every order therefore has a fencing
 // number above those of all earlier orders to the rank, and an engine that has accepted an order refuses all orders
-// with lower numbers.
+// with lower numbers. For engines that ignore fencing numbers, an order also states how many orders the engine must have
+// accepted before, and an engine that has accepted another number refuses it.
 package rankgroup
 
 import (
@@ -32,7 +33,7 @@
 	Prepared    int64   `json:"p,omitempty"` // version of a map that is loaded besides the one in use; 0 for none
 	Armed       int64   `json:"a,omitempty"` // version of the map that comes into use at a later step; 0 for none
 	Held        *int64  `json:"h,omitempty"` // step that this rank keeps the group from beginning; nil for none
-	Sequence    int64   `json:"q,omitempty"` // number of orders that the engine has started to carry out
+	Sequence    int64   `json:"q,omitempty"` // number of orders that the engine has accepted since its start
 	Busy        bool    `json:"y,omitempty"` // an order is in progress
 	Active      int     `json:"n,omitempty"` // requests in the batch
 	Queued      int     `json:"w,omitempty"` // requests that wait for a place in the batch
@@ -43,7 +44,8 @@
 
 // essential returns the fields that a coordinator needs. The others are left out of what a relay sends.
 func (s Status) essential() Status {
-	return Status{Epoch: s.Epoch, Open: s.Open, Step: s.Step, Map: s.Map, Prepared: s.Prepared, Armed: s.Armed, Held: s.Held, Pace: s.Pace}
+	return Status{Epoch: s.Epoch, Open: s.Open, Step: s.Step, Map: s.Map, Prepared: s.Prepared, Armed: s.Armed, Held: s.Held,
+		Sequence: s.Sequence, Pace: s.Pace}
 }
 
 // Counts holds how often the rank's requests have chosen each expert since the start of the engine.
@@ -71,8 +73,10 @@
 	Epoch   int64     `json:"epoch"` // the engine refuses the order if the group has another epoch
 	Version int64     `json:"version,omitempty"`
 	Step    int64     `json:"step,omitempty"`
-	Map     [][][]int `json:"-"` // experts by layer and rank
-	Fence   int64     `json:"-"`
+	// Expect is the Status.Sequence that the engine must have; it refuses the order if it has another one. nil stands for any.
+	Expect *int64    `json:"expect,omitempty"`
+	Map    [][][]int `json:"-"` // experts by layer and rank
+	Fence  int64     `json:"-"`
 }
 
 // Errors of orders. After any other error it is unknown whether the order has been or will be carried out.
--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -74,7 +74,7 @@
 
 func (r testRank) Order(ctx context.Context, o Order) error {
 	err := r.Rank.Order(ctx, expertgroup.Order{Operation: testOperations[o.Op], FencingToken: o.Fence, Epoch: o.Epoch,
-		Version: o.Version, Step: o.Step, Map: o.Map})
+		Version: o.Version, Step: o.Step, Map: o.Map, Expect: o.Expect})
 	switch {
 	case errors.Is(err, expertgroup.ErrConflict):
 		return ErrConflict
--- a/internal/rankgroup/relay.go
+++ b/internal/rankgroup/relay.go
@@ -38,8 +38,9 @@
 	Order     Order      `json:"o"` // its Map is sent in the field below
 	Map       *MapUpdate `json:"m,omitempty"`
 	Ranks     []int      `json:"r"`
-	Fences    []int64    `json:"f"` // by Ranks; see OrderRequest.Fence
-	TimeoutMs int64      `json:"t"` // see OrderRequest.TimeoutMs
+	Fences    []int64    `json:"f"`           // by Ranks; see OrderRequest.Fence
+	Expects   []int64    `json:"e,omitempty"` // by Ranks; see Order.Expect; empty for any
+	TimeoutMs int64      `json:"t"`           // see OrderRequest.TimeoutMs
 }
 
 // BranchOrderReply holds the results of an order.
@@ -113,7 +114,11 @@
 	defer cancel()
 	out := BranchOrderReply{Results: make([]OrderResult, len(r.Ranks))}
 	forEach(min(len(r.Ranks), len(r.Fences)), func(i int) {
-		reply, err := y.Ranks.Order(ctx, r.Ranks[i], OrderRequest{Order: r.Order, Map: r.Map, Fence: r.Fences[i], TimeoutMs: r.TimeoutMs})
+		order := r.Order
+		if i < len(r.Expects) {
+			order.Expect = &r.Expects[i]
+		}
+		reply, err := y.Ranks.Order(ctx, r.Ranks[i], OrderRequest{Order: order, Map: r.Map, Fence: r.Fences[i], TimeoutMs: r.TimeoutMs})
 		out.Results[i] = reply.Result
 		if err != nil {
 			out.Results[i] = ResultUnknown
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -48,10 +48,15 @@
 	return fence
 }
 
-// order sends an order to a rank.
+// order sends an order to a rank. An engine that ignores fencing numbers refuses it if it has accepted another order since
+// c.status was read.
 func (c *Coordinator) order(ctx context.Context, rank int, o Order, limit time.Duration) OrderResult {
 	fence := c.nextFence(rank)
 	o.Epoch = c.epoch
+	if c.opt.Unfenced {
+		accepted := c.status[rank].Sequence
+		o.Expect = &accepted
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit+readTimeout)
 	defer cancel()
 	reply, err := c.opt.Ranks.Order(ctx, rank, OrderRequest{Order: o, Map: c.update, Fence: fence, TimeoutMs: limit.Milliseconds()})
@@ -89,7 +94,6 @@
 	if !c.readAll(ctx) {
 		return false
 	}
-	c.termStep = c.status[c.opt.Rank].Step
 	if c.opt.Unfenced {
 		return c.undoUnfenced(ctx)
 	}
@@ -187,11 +191,17 @@
 	return true
 }
 
+// useNextVersion chooses the version of the next map that this coordinator loads.
+func (c *Coordinator) useNextVersion() {
+	c.version++
+	c.loading = c.version
+}
+
 // switchTo loads the planned map on all ranks and switches them to it at the same step.
 func (c *Coordinator) switchTo(ctx context.Context, p plan) {
 	started := c.opt.Now()
-	c.version++
-	e := Event{Epoch: c.epoch, Version: c.version, Loads: p.increment.Loaded, Before: p.increment.Before, After: p.increment.After}
+	c.useNextVersion()
+	e := Event{Epoch: c.epoch, Version: c.loading, Loads: p.increment.Loaded, Before: p.increment.Before, After: p.increment.After}
 	err := c.loadMap(ctx, p)
 	if err == nil {
 		e.Step, err = c.armAll(ctx)
@@ -202,7 +212,7 @@
 		c.urgent = c.needsNewTerm
 	} else {
 		c.currentMap = p.nextMap()
-		c.pending, c.agentsMap = c.version, c.version
+		c.pending, c.agentsMap = c.loading, c.loading
 	}
 	c.opt.Notify(e)
 	if c.orders[c.opt.Rank] > maxOrdersPerTerm/2 {
@@ -214,6 +224,7 @@
 	errLoadTimeout  = errors.New("a rank did not load the map in time")
 	errGroupNotOpen = errors.New("the group is not open")
 	errNotHeld      = errors.New("the group could not be held")
+	errSuperseded   = errors.New("another coordinator has changed what the rank has loaded")
 )
 
 // loadMap makes all ranks load the planned map and waits until they have.
@@ -260,7 +271,7 @@
 		return nil, err
 	}
 	c.update = &update
-	order := Order{Op: OpPrepare, Version: c.version}
+	order := Order{Op: OpPrepare, Version: c.loading}
 	results := c.orderAll(ctx, order, prepareTimeout)
 	if !slices.Contains(results, ResultNoBaseMap) {
 		return results, nil
@@ -278,10 +289,11 @@
 	return results, nil
 }
 
-// allLoaded reports whether all ranks have loaded the map of the present version.
+// allLoaded reports whether all ranks have loaded the map that this coordinator has last ordered them to load, and none
+// that another coordinator has ordered since.
 func (c *Coordinator) allLoaded() bool {
 	for _, s := range c.status {
-		if s.Prepared != c.version {
+		if s.Prepared != c.loading {
 			return false
 		}
 	}
@@ -296,11 +308,19 @@
 		c.needsNewTerm = true
 		return step, err
 	}
-	results := c.orderAll(ctx, Order{Op: OpArm, Version: c.version, Step: step}, armTimeout)
+	if err := c.updateOwn(ctx, func(s Status) bool { return s.Prepared == c.loading }); err != nil {
+		c.needsNewTerm = true
+		return step, err
+	}
+	results := c.orderAll(ctx, Order{Op: OpArm, Version: c.loading, Step: step}, armTimeout)
 	if !allDone(results) {
 		c.needsNewTerm = true // the next round starts a new term, then disarms and releases all ranks
 		return step, resultsError(results)
 	}
+	if err := c.updateOwn(ctx, func(s Status) bool { return s.Armed == c.loading }); err != nil {
+		c.needsNewTerm = true
+		return step, err
+	}
 	if r := c.order(ctx, c.opt.Rank, Order{Op: OpRelease, Step: step}, undoTimeout); r != ResultDone {
 		c.needsNewTerm = true
 		return step, fmt.Errorf("%w: release %s", errNotHeld, r)
@@ -317,6 +337,10 @@
 		if err != nil {
 			return step, err
 		}
+		if status.Prepared != c.loading || status.Epoch != c.epoch {
+			return step, errSuperseded
+		}
+		c.status[c.opt.Rank] = status
 		step = status.Step + leadSteps + attempt
 		switch r := c.order(ctx, c.opt.Rank, Order{Op: OpHold, Step: step}, armTimeout); r {
 		case ResultDone:
@@ -329,6 +353,23 @@
 	return step, errNotHeld
 }
 
+// updateOwn reads the own rank again, whose number of accepted orders has changed, and fails if it is not in the wanted
+// state. Only engines that ignore fencing numbers need this.
+func (c *Coordinator) updateOwn(ctx context.Context, wanted func(Status) bool) error {
+	if !c.opt.Unfenced {
+		return nil
+	}
+	s, err := c.readOwn(ctx)
+	if err != nil {
+		return err
+	}
+	if s.Epoch != c.epoch || !wanted(s) {
+		return errSuperseded
+	}
+	c.status[c.opt.Rank] = s
+	return nil
+}
+
 // readOwn reads the status of the coordinator's own rank.
 func (c *Coordinator) readOwn(ctx context.Context) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/test/standin/expertgroup/group_test.go
+++ b/test/standin/expertgroup/group_test.go
@@ -70,3 +70,17 @@
 		}
 	})
 }
+
+// TestExpectedOrders guards against a stand-in that accepts an order although it expects another number of accepted orders.
+// The tests of engines that ignore fencing numbers would then find orders that real engines refuse.
+func TestExpectedOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGroup()
+		expect := func(n int64) *int64 { return &n }
+		g.mustCarryOut(t, 0, Order{Operation: Prepare, Version: 1, Map: testMap, Expect: expect(0)})
+		if err := g.Ranks[0].CarryOut(Order{Operation: Hold, Step: 2, Epoch: 1, Expect: expect(0)}); !errors.Is(err, ErrConflict) {
+			t.Errorf("order that expects 0 accepted orders after 1: error %v, want ErrConflict", err)
+		}
+		g.mustCarryOut(t, 0, Order{Operation: Hold, Step: 2, Expect: expect(1)})
+	})
+}
--- a/test/standin/expertgroup/order.go
+++ b/test/standin/expertgroup/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	Version      int64     `json:"version"`
 	Step         int64     `json:"step"`
 	Map          [][][]int `json:"map"`
+	Expect       *int64    `json:"expect,omitempty"` // the rank refuses the order if it has accepted another number; nil for any
 }
 
 // Operations of orders.
@@ -72,11 +74,21 @@
 	g := r.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	accepted := r.acceptedOrders
 	err := r.apply(o)
-	g.trace("rank %d at step %d: %s version %d step %d fence %d: %v", r.index, g.step, o.Operation, o.Version, o.Step, o.FencingToken, err)
+	g.trace("rank %d at step %d after %d orders: %s version %d step %d fence %d expect %s: %v", r.index, g.step, accepted,
+		o.Operation, o.Version, o.Step, o.FencingToken, o.expectation(), err)
 	return err
 }
 
+// expectation returns the expected number of accepted orders for the trace.
+func (o Order) expectation() string {
+	if o.Expect == nil {
+		return "any"
+	}
+	return strconv.FormatInt(*o.Expect, 10)
+}
+
 func (r *Rank) apply(o Order) error {
 	g := r.group
 	if !g.Unfenced {
@@ -85,7 +97,7 @@
 		}
 		r.fencingNumber = o.FencingToken
 	}
-	if o.Epoch != g.epoch || !g.open {
+	if o.Epoch != g.epoch || !g.open || o.Expect != nil && *o.Expect != r.acceptedOrders {
 		return ErrConflict
 	}
 	switch o.Operation {
