rankgroup: switch maps at the next step if all ranks are armed before it

Cause: a switch always took place two steps after the last one that was read, though arming 96 ranks takes a quarter of a step of 80 ms. Up to a whole step was lost with each change of the map.

Change: the coordinator learns from readings of its own rank when steps begin, also while a map is loaded, and holds the next step if the time until then is at least twice the longest recent time to arm all ranks. The hold guards the switch as before; a wrong estimate only makes the group wait.

--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -112,6 +112,9 @@
 	update     *MapUpdate // map of the order that is being sent; nil for orders without one
 	agentsMap  int64      // version of a map that the agents have, if it is the one in use; completeMap if they have none
 	branches   []*branch
+
+	clock   stepClock     // of the own rank
+	armTime time.Duration // time to hold the group, arm all ranks and release it; 0 if unknown
 }
 
 // NewCoordinator returns a coordinator. It knows nothing about the group until Run has read it.
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// leadSteps is the number of steps between the current step, as read from the engine, and the step of a switch.
-	leadSteps = 2
+	// maxLeadSteps is the number of steps between the current step, as read from the engine, and the step of a switch. It is
+	// 1 if the time until the next step exceeds armTimeFactor times the time that the last switches took to arm all ranks.
+	maxLeadSteps  = 2
+	armTimeFactor = 2
+	// armTimeDecay is the part of the longest time to arm all ranks that is kept with each shorter one.
+	armTimeDecay = 0.9
 	// maxOrdersPerTerm is the number of orders that a coordinator can send to one rank in one term.
 	maxOrdersPerTerm = fencesPerTerm / FencesPerOrder
 	// fencesPerTerm is the number of fencing numbers of one term.
@@ -240,7 +244,7 @@
 	}
 	expected := c.engine.Experts.LoadTime() * time.Duration(p.increment.MaxPerRank)
 	end := c.opt.Now().Add(expected + loadMargin)
-	c.sleep(ctx, expected)
+	c.waitReadingOwn(ctx, expected)
 	for {
 		if !c.readStatuses(ctx) || c.epoch != epoch {
 			return errGroupNotOpen
@@ -303,6 +307,7 @@
 // armAll holds the group before a step, arms all ranks for that step, and releases the hold once all ranks have
 // confirmed. It returns the step.
 func (c *Coordinator) armAll(ctx context.Context) (int64, error) {
+	started := c.opt.Now()
 	step, err := c.hold(ctx)
 	if err != nil {
 		c.needsNewTerm = true
@@ -325,6 +330,7 @@
 		c.needsNewTerm = true
 		return step, fmt.Errorf("%w: release %s", errNotHeld, r)
 	}
+	c.addArmTime(c.opt.Now().Sub(started))
 	return step, nil
 }
 
@@ -341,7 +347,7 @@
 			return step, errSuperseded
 		}
 		c.status[c.opt.Rank] = status
-		step = status.Step + leadSteps + attempt
+		step = status.Step + c.leadSteps() + attempt
 		switch r := c.order(ctx, c.opt.Rank, Order{Op: OpHold, Step: step}, armTimeout); r {
 		case ResultDone:
 			return step, nil
@@ -370,10 +376,36 @@
 	return nil
 }
 
+// leadSteps returns the number of steps between the current step and the step of a switch that begins now. Fewer steps
+// make the group wait, more delay the switch.
+func (c *Coordinator) leadSteps() int64 {
+	if c.armTime > 0 && c.clock.untilNext(c.opt.Now()) > armTimeFactor*c.armTime {
+		return maxLeadSteps - 1
+	}
+	return maxLeadSteps
+}
+
+// addArmTime adds the time that a switch took from the reading before the hold to its release.
+func (c *Coordinator) addArmTime(d time.Duration) {
+	c.armTime = max(d, time.Duration(armTimeDecay*float64(c.armTime)))
+}
+
+// waitReadingOwn waits for the duration and reads the own rank meanwhile, to learn when it begins steps.
+func (c *Coordinator) waitReadingOwn(ctx context.Context, d time.Duration) {
+	for end := c.opt.Now().Add(d); ctx.Err() == nil && c.opt.Now().Before(end); {
+		c.sleep(ctx, min(switchPollInterval, end.Sub(c.opt.Now())))
+		_, _ = c.readOwn(ctx) // a failure leaves the estimate as it is
+	}
+}
+
 // readOwn reads the status of the coordinator's own rank.
 func (c *Coordinator) readOwn(ctx context.Context) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	start := c.opt.Now()
 	r, err := c.opt.Ranks.Read(ctx, c.opt.Rank, ReadRequest{Coordinator: c.opt.Rank, StatusOnly: true})
+	if err == nil {
+		c.clock.observe(r.Status.Step, start, c.opt.Now())
+	}
 	return r.Status, err
 }
