--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// leadSteps is the number of steps between the current step, as read from the engine, and the step of a switch.
-	leadSteps = 2
+	// maxLeadSteps is the number of steps between the current step, as read from the engine, and the step of a switch. It is
+	// 1 if the time until the next step exceeds armTimeFactor times the time that the last switches took to arm all ranks.
+	maxLeadSteps  = 2
+	armTimeFactor = 2
+	// armTimeDecay is the part of the longest time to arm all ranks that is kept with each shorter one.
+	armTimeDecay = 0.9
 	// maxOrdersPerTerm is the number of orders that a coordinator can send to one rank in one term.
 	maxOrdersPerTerm = fencesPerTerm / FencesPerOrder
 	// fencesPerTerm is the number of fencing numbers of one term.
@@ -48,10 +52,15 @@
 	return fence
 }
 
-// order sends an order to a rank.
+// order sends an order to a rank. An engine that ignores fencing numbers refuses it if it has accepted another order since
+// c.status was read.
 func (c *Coordinator) order(ctx context.Context, rank int, o Order, limit time.Duration) OrderResult {
 	fence := c.nextFence(rank)
 	o.Epoch = c.epoch
+	if c.opt.Unfenced {
+		accepted := c.status[rank].Sequence
+		o.Expect = &accepted
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit+readTimeout)
 	defer cancel()
 	reply, err := c.opt.Ranks.Order(ctx, rank, OrderRequest{Order: o, Map: c.update, Fence: fence, TimeoutMs: limit.Milliseconds()})
@@ -89,7 +98,6 @@
 	if !c.readAll(ctx) {
 		return false
 	}
-	c.termStep = c.status[c.opt.Rank].Step
 	if c.opt.Unfenced {
 		return c.undoUnfenced(ctx)
 	}
@@ -187,11 +195,17 @@
 	return true
 }
 
+// useNextVersion chooses the version of the next map that this coordinator loads.
+func (c *Coordinator) useNextVersion() {
+	c.version++
+	c.loading = c.version
+}
+
 // switchTo loads the planned map on all ranks and switches them to it at the same step.
 func (c *Coordinator) switchTo(ctx context.Context, p plan) {
 	started := c.opt.Now()
-	c.version++
-	e := Event{Epoch: c.epoch, Version: c.version, Loads: p.increment.Loaded, Before: p.increment.Before, After: p.increment.After}
+	c.useNextVersion()
+	e := Event{Epoch: c.epoch, Version: c.loading, Loads: p.increment.Loaded, Before: p.increment.Before, After: p.increment.After}
 	err := c.loadMap(ctx, p)
 	if err == nil {
 		e.Step, err = c.armAll(ctx)
@@ -202,7 +216,7 @@
 		c.urgent = c.needsNewTerm
 	} else {
 		c.currentMap = p.nextMap()
-		c.pending, c.agentsMap = c.version, c.version
+		c.pending, c.agentsMap = c.loading, c.loading
 	}
 	c.opt.Notify(e)
 	if c.orders[c.opt.Rank] > maxOrdersPerTerm/2 {
@@ -214,6 +228,7 @@
 	errLoadTimeout  = errors.New("a rank did not load the map in time")
 	errGroupNotOpen = errors.New("the group is not open")
 	errNotHeld      = errors.New("the group could not be held")
+	errSuperseded   = errors.New("another coordinator has changed what the rank has loaded")
 )
 
 // loadMap makes all ranks load the planned map and waits until they have.
@@ -229,7 +244,7 @@
 	}
 	expected := c.engine.Experts.LoadTime() * time.Duration(p.increment.MaxPerRank)
 	end := c.opt.Now().Add(expected + loadMargin)
-	c.sleep(ctx, expected)
+	c.waitReadingOwn(ctx, expected)
 	for {
 		if !c.readStatuses(ctx) || c.epoch != epoch {
 			return errGroupNotOpen
@@ -260,7 +275,7 @@
 		return nil, err
 	}
 	c.update = &update
-	order := Order{Op: OpPrepare, Version: c.version}
+	order := Order{Op: OpPrepare, Version: c.loading}
 	results := c.orderAll(ctx, order, prepareTimeout)
 	if !slices.Contains(results, ResultNoBaseMap) {
 		return results, nil
@@ -278,10 +293,11 @@
 	return results, nil
 }
 
-// allLoaded reports whether all ranks have loaded the map of the present version.
+// allLoaded reports whether all ranks have loaded the map that this coordinator has last ordered them to load, and none
+// that another coordinator has ordered since.
 func (c *Coordinator) allLoaded() bool {
 	for _, s := range c.status {
-		if s.Prepared != c.version {
+		if s.Prepared != c.loading {
 			return false
 		}
 	}
@@ -291,20 +307,30 @@
 // armAll holds the group before a step, arms all ranks for that step, and releases the hold once all ranks have
 // confirmed. It returns the step.
 func (c *Coordinator) armAll(ctx context.Context) (int64, error) {
+	started := c.opt.Now()
 	step, err := c.hold(ctx)
 	if err != nil {
 		c.needsNewTerm = true
 		return step, err
 	}
-	results := c.orderAll(ctx, Order{Op: OpArm, Version: c.version, Step: step}, armTimeout)
+	if err := c.updateOwn(ctx, func(s Status) bool { return s.Prepared == c.loading }); err != nil {
+		c.needsNewTerm = true
+		return step, err
+	}
+	results := c.orderAll(ctx, Order{Op: OpArm, Version: c.loading, Step: step}, armTimeout)
 	if !allDone(results) {
 		c.needsNewTerm = true // the next round starts a new term, then disarms and releases all ranks
 		return step, resultsError(results)
 	}
+	if err := c.updateOwn(ctx, func(s Status) bool { return s.Armed == c.loading }); err != nil {
+		c.needsNewTerm = true
+		return step, err
+	}
 	if r := c.order(ctx, c.opt.Rank, Order{Op: OpRelease, Step: step}, undoTimeout); r != ResultDone {
 		c.needsNewTerm = true
 		return step, fmt.Errorf("%w: release %s", errNotHeld, r)
 	}
+	c.addArmTime(c.opt.Now().Sub(started))
 	return step, nil
 }
 
@@ -317,7 +343,11 @@
 		if err != nil {
 			return step, err
 		}
-		step = status.Step + leadSteps + attempt
+		if status.Prepared != c.loading || status.Epoch != c.epoch {
+			return step, errSuperseded
+		}
+		c.status[c.opt.Rank] = status
+		step = status.Step + c.leadSteps() + attempt
 		switch r := c.order(ctx, c.opt.Rank, Order{Op: OpHold, Step: step}, armTimeout); r {
 		case ResultDone:
 			return step, nil
@@ -329,10 +359,53 @@
 	return step, errNotHeld
 }
 
+// updateOwn reads the own rank again, whose number of accepted orders has changed, and fails if it is not in the wanted
+// state. Only engines that ignore fencing numbers need this.
+func (c *Coordinator) updateOwn(ctx context.Context, wanted func(Status) bool) error {
+	if !c.opt.Unfenced {
+		return nil
+	}
+	s, err := c.readOwn(ctx)
+	if err != nil {
+		return err
+	}
+	if s.Epoch != c.epoch || !wanted(s) {
+		return errSuperseded
+	}
+	c.status[c.opt.Rank] = s
+	return nil
+}
+
+// leadSteps returns the number of steps between the current step and the step of a switch that begins now. Fewer steps
+// make the group wait, more delay the switch.
+func (c *Coordinator) leadSteps() int64 {
+	if c.armTime > 0 && c.clock.untilNext(c.opt.Now()) > armTimeFactor*c.armTime {
+		return maxLeadSteps - 1
+	}
+	return maxLeadSteps
+}
+
+// addArmTime adds the time that a switch took from the reading before the hold to its release.
+func (c *Coordinator) addArmTime(d time.Duration) {
+	c.armTime = max(d, time.Duration(armTimeDecay*float64(c.armTime)))
+}
+
+// waitReadingOwn waits for the duration and reads the own rank meanwhile, to learn when it begins steps.
+func (c *Coordinator) waitReadingOwn(ctx context.Context, d time.Duration) {
+	for end := c.opt.Now().Add(d); ctx.Err() == nil && c.opt.Now().Before(end); {
+		c.sleep(ctx, min(switchPollInterval, end.Sub(c.opt.Now())))
+		_, _ = c.readOwn(ctx) // a failure leaves the estimate as it is
+	}
+}
+
 // readOwn reads the status of the coordinator's own rank.
 func (c *Coordinator) readOwn(ctx context.Context) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	start := c.opt.Now()
 	r, err := c.opt.Ranks.Read(ctx, c.opt.Rank, ReadRequest{Coordinator: c.opt.Rank, StatusOnly: true})
+	if err == nil {
+		c.clock.observe(r.Status.Step, start, c.opt.Now())
+	}
 	return r.Status, err
 }
