quarantine: few tests of a part that goes on crashing engines

Each test of such a part crashes an engine, and the tests came after 1, 3, 7, 15 minutes and so on up to once an hour for as long as requests with the part came. Other entries joined in if the origin had ended or was cut off, and a test whose answer was lost without a refused connection was sent to a second engine and repeated after 6 s.

Other entries test a part only after ten times its quarantine. A test whose answer was lost has failed and is not retried, whether or not the engine was seen to have crashed.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -20,6 +20,9 @@
 // recordCrash reports whether the target of an attempt has crashed before its answer had begun. If so, it records the
 // crash for the parts of the prompt.
 func (x *exchange) recordCrash(r result) bool {
+	if r.ending != "" && !r.ending.Complete() {
+		x.prompt.Lost()
+	}
 	if x.prompt == nil || x.prompt.HasBegun() || !r.ending.connectionLost() {
 		return false
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -170,3 +170,42 @@
 		})
 	}
 }
+
+// TestFailedTestIsNotRetried guards against a test of a quarantined part that reaches a second engine because the first one
+// was not seen to refuse connections.
+func TestFailedTestIsNotRetried(t *testing.T) {
+	f := newFixture(t, target.Reset(), target.Reset())
+	now := time.Now().Add(-24 * time.Hour)
+	f.gateway.Quarantine = quarantine.New(func() time.Time { return now })
+	send := func(part quarantine.Part) *quarantine.Prompt {
+		now = now.Add(time.Second)
+		return f.gateway.Quarantine.Prompt("s", []quarantine.Part{part})
+	}
+	for range 100 {
+		p := send("aa01")
+		p.Begun()
+		p.Done()
+	}
+	for n := range 2 {
+		p := send(crashingPart)
+		p.Crashed(targetset.Incarnation{ID: "i-1", StartedAtMs: int64(n)})
+		p.Done()
+	}
+	now = now.Add(time.Second)
+	prompt := []string{promptHeader, "aa01:40," + crashingPart + ":90,c:1"}
+	if a := f.do("POST", "/safe/x", "prompt", prompt...); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, want 503 with Retry-After: the part is quarantined", a.status)
+	}
+	now = now.Add(5 * time.Minute)
+	if a := f.do("POST", "/safe/x", "prompt", prompt...); a.status != http.StatusBadGateway {
+		t.Errorf("status %d of the request that tests the part, want 502", a.status)
+	}
+	if n := f.arrivals(); n != 1 {
+		t.Errorf("%d arrivals at engines, want 1", n)
+	}
+	now = now.Add(10 * time.Minute)
+	f.do("POST", "/safe/x", "prompt", prompt...)
+	if n := f.arrivals(); n != 1 {
+		t.Errorf("%d arrivals at engines, want 1: the test that was lost has failed", n)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -22,15 +22,18 @@
 type Part string
 
 const (
-	// firstQuarantine is the first time for which a part is quarantined. It doubles each time that an engine crashes
-	// under the part again, up to maxQuarantine.
-	firstQuarantine = time.Minute
-	maxQuarantine   = time.Hour
-	// testSpread is the share of a quarantine over which entries spread their tests of a part whose origin does not test
-	// it, so that one of them learns the result before the others send theirs.
-	testSpread = 0.5
-	// testPauseShare is the share of a quarantine, as a divisor, after which a test that ended without a result is
-	// repeated, and testTime the time after which a caller that is refused during a test may return.
+	// firstQuarantine is the first time for which a part is quarantined. Each test that fails multiplies it by
+	// quarantineGrowth, up to maxQuarantine. Each of these tests crashes an engine, so that there must be few in a day:
+	// they begin after 1 min, 21 min and 7 h.
+	firstQuarantine  = time.Minute
+	quarantineGrowth = 20
+	maxQuarantine    = 24 * time.Hour
+	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries test a part that its
+	// origin has not tested. They spread their tests over as long again, so that one of them learns the result before the
+	// others send theirs.
+	otherTestDelay = 10
+	// testPauseShare is the share of a quarantine, as a divisor, after which a test that reached no engine is repeated, and
+	// testTime the time after which a caller that is refused during a test may return.
 	testPauseShare = 10
 	testTime       = 2 * time.Second
 )
@@ -76,6 +79,7 @@
 	service string
 	parts   []Part
 	begun   bool
+	lost    bool   // an engine may have run the request, and its answer was lost
 	tests   []Part // quarantined parts that the request tests
 }
 
@@ -107,13 +111,11 @@
 	}
 	for _, part := range p.parts {
 		q := t.quarantines[part]
-		if q == nil || q.testing == p {
-			continue
-		}
-		if now.Before(q.testAfter) {
+		switch {
+		case q == nil, q.testing == p && !p.lost:
+		case now.Before(q.testAfter):
 			return part, q.testAfter.Sub(now)
-		}
-		if q.testing != nil {
+		case q.testing != nil: // also by this request, which must not reach a second engine
 			return part, testTime
 		}
 	}
@@ -165,6 +167,13 @@
 // HasBegun reports whether an answer to the request has begun.
 func (p *Prompt) HasBegun() bool { return p != nil && p.begun }
 
+// Lost records that an engine may have run the request and that its answer was lost, for whatever reason.
+func (p *Prompt) Lost() {
+	if p != nil {
+		p.lost = true
+	}
+}
+
 // partBegun records that an answer with the part began at a time, and ends a quarantine that was imposed before. The
 // caller holds the lock.
 func (t *Tracker) partBegun(part Part, at time.Time) {
@@ -187,12 +196,8 @@
 	t := p.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p.lost = true
 	t.addCrash(engine, p.service, p.parts, t.now())
-	for _, part := range p.tests {
-		if q := t.quarantines[part]; q != nil && q.testing == p {
-			t.impose(part, min(maxQuarantine, 2*q.duration))
-		}
-	}
 }
 
 // Suspected reports whether a part of the request is a suspect or quarantined. The gateway must not retry such a request.
@@ -207,7 +212,8 @@
 	return slices.ContainsFunc(p.parts, func(part Part) bool { return suspects[part] || t.quarantines[part] != nil })
 }
 
-// Done ends the tracking of the request.
+// Done ends the tracking of the request. A test whose answer was lost before it began has failed: the engine may have
+// crashed unnoticed.
 func (p *Prompt) Done() {
 	if p == nil || len(p.tests) == 0 {
 		return
@@ -219,6 +225,9 @@
 		if q := t.quarantines[part]; q != nil && q.testing == p {
 			q.testing = nil
 			q.testAfter = t.now().Add(q.duration / testPauseShare)
+			if p.lost {
+				t.impose(part, min(maxQuarantine, quarantineGrowth*q.duration))
+			}
 		}
 	}
 }
@@ -252,11 +261,11 @@
 }
 
 // newQuarantine returns a quarantine. Its origin tests the part at its end; the other entries do so only if the origin has
-// not for as long again, since it may have ended.
+// not for otherTestDelay, since it may have ended.
 func (t *Tracker) newQuarantine(since, until time.Time, d time.Duration, origin uint32) *quarantine {
 	q := &quarantine{since: since, until: until, duration: d, origin: origin, testAfter: until}
 	if origin != t.id {
-		q.testAfter = until.Add(d + time.Duration(testSpread*rand.Float64()*float64(d)))
+		q.testAfter = until.Add(time.Duration((1 + rand.Float64()) * otherTestDelay * float64(d)))
 	}
 	return q
 }
