quarantine: crashes under the continuation of a stream count

A stream whose first engine had begun its answer was continued at a second engine, and a crash there was not recorded, since an answer to the request had begun somewhere. Whether the answer has begun is asked of the latest engine now. TestCrashUnderAContinuation: no crash recorded before, that of the second engine now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,7 @@
 	}
 	t := lease.Target
 	started := time.Now()
+	x.prompt.Sent()
 	result, err := x.send(lease)
 	lease.Done(result.leaseResult)
 	result.crashed = x.recordCrash(result)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -209,3 +210,21 @@
 		t.Errorf("%d arrivals at engines, want 1: the test that was lost has failed", n)
 	}
 }
+
+// TestCrashUnderAContinuation guards against a crash of a second engine that counts for nothing because the first one had
+// begun the answer.
+func TestCrashUnderAContinuation(t *testing.T) {
+	f := newFixture(t, target.Stream(3, time.Millisecond, true), target.Reset())
+	f.second.SetBehaviour(func(net.Conn, target.Arrival) bool { f.second.Crash(); return false })
+	var crashed []string
+	f.gateway.Quarantine.Notify = func(e quarantine.Event) {
+		if e.Kind == quarantine.EventCrash {
+			crashed = append(crashed, e.Engine)
+		}
+	}
+	f.do("POST", "/stream/x", "prompt", promptHeader, "aa01:40,bb02:9,cc:1")
+	<-f.records // the request has ended at the gateway
+	if !slices.Equal(crashed, []string{"i-2"}) {
+		t.Errorf("crashes of %q, want that of i-2", crashed)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -78,7 +78,7 @@
 	tracker *Tracker
 	service string
 	parts   []Part
-	begun   bool
+	begun   bool   // the answer has, at the engine to which the request was sent last
 	lost    bool   // an engine may have run the request, and its answer was lost
 	tests   []Part // quarantined parts that the request tests
 }
@@ -148,6 +148,13 @@
 	}
 }
 
+// Sent records that the request is sent to an engine. The answer has not begun there, even if an earlier engine had begun it.
+func (p *Prompt) Sent() {
+	if p != nil {
+		p.begun = false
+	}
+}
+
 // Begun records that the answer to the request has begun, so that none of its parts crashes an engine.
 func (p *Prompt) Begun() {
 	if p == nil || p.begun {
@@ -164,7 +171,7 @@
 	}
 }
 
-// HasBegun reports whether an answer to the request has begun.
+// HasBegun reports whether the engine to which the request was sent last has begun its answer.
 func (p *Prompt) HasBegun() bool { return p != nil && p.begun }
 
 // Lost records that an engine may have run the request and that its answer was lost, for whatever reason.
