quarantine: a short quarantine for parts of many crashes at once

A burst of requests with a part at all entries in the same moment crashes many engines within 0.1 s. These crashes count as one, as those of engines that lose power together, so that the next burst, or the requests that waited for a group to open, reached engines as freely as the first, seconds after the fifth crash. An entry that had seen few answers since its start left a part of two crashes free in the same way.

A part that is in four crashes at least and in most of those at their time, or the only suspect without enough evidence, is quarantined for 4 s, and then tested by a single request. It explains no crash meanwhile, as it may not be the cause.

In TestDecision the case of engines that lose power had a new part at all five engines and asked that it is not refused. Such a part cannot be told from one that crashed them; it is refused for 4 s now and then tested, as TestManyCrashesAtOnce asks. The case keeps it at three of the engines.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -14,6 +14,9 @@
 	crashesOfUsedPart = 3
 	// sameCauseTime is the time within which crashes count as one, since engines that lose power together crash together.
 	sameCauseTime = 100 * time.Millisecond
+	// crashesAtOnce is the number of crashes under a part at which it is quarantined for shortQuarantine although they count
+	// as one. It is less than five, the number after which few requests with the part may still reach engines.
+	crashesAtOnce = 4
 	// commonShare is the share of the requests above which a part is common, and fewRequests the number up to which it is
 	// not. A common part is in the requests of every crash, whatever the cause.
 	commonShare = 0.125
@@ -222,10 +225,11 @@
 	}
 }
 
-// explained reports whether a quarantined part explains the crash.
+// explained reports whether a quarantined part explains the crash. One that is quarantined for a short time only does not,
+// since it may not be the cause.
 func (t *Tracker) explained(c *crash) bool {
 	for part := range c.parts {
-		if t.quarantines[part] != nil {
+		if q := t.quarantines[part]; q != nil && q.duration >= firstQuarantine {
 			return true
 		}
 	}
@@ -332,6 +336,42 @@
 	return best, most >= crashesOfUsedPart || isNew && len(best) == 1
 }
 
+// shortSuspects returns the parts to quarantine for a short time, given the suspects that are not conclusive: a single one,
+// which may be all that an entry knows after a restart, and those of simultaneous crashes.
+func (t *Tracker) shortSuspects(inconclusive map[Part]bool) []Part {
+	found := t.simultaneousSuspects()
+	if len(inconclusive) == 1 {
+		for part := range inconclusive {
+			found = append(found, part)
+		}
+	}
+	return found
+}
+
+// simultaneousSuspects returns the parts that are in at least crashesAtOnce crashes and in most of those at that time. The
+// crashes may have a common cause, as when engines lose power together, or a burst of requests with the part may have
+// reached many engines at once.
+func (t *Tracker) simultaneousSuspects() (found []Part) {
+	for part, s := range t.unexplained(false) {
+		if len(s.at) >= crashesAtOnce && 2*len(s.at) > t.crashesDuring(s) && t.plausible(part, s) {
+			found = append(found, part)
+		}
+	}
+	return found
+}
+
+// crashesDuring returns the number of crashes of the service from the first to the last one under a suspect.
+func (t *Tracker) crashesDuring(s *suspect) int {
+	first, last := slices.MinFunc(s.at, time.Time.Compare), slices.MaxFunc(s.at, time.Time.Compare)
+	n := 0
+	for _, c := range t.crashes {
+		if c.service == s.service && !c.at.Before(first) && !c.at.After(last) && !t.explained(c) {
+			n++
+		}
+	}
+	return n
+}
+
 // recentSuspects keeps the suspects of all crashes, since each request needs them while a crash is not settled.
 type recentSuspects struct {
 	parts map[Part]bool
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,7 +25,10 @@
 	// firstQuarantine is the first time for which a part is quarantined. Each test that fails multiplies it by
 	// quarantineGrowth, up to maxQuarantine. Each of these tests crashes an engine, so that there must be few in a day:
 	// they begin after 1 min, 21 min and 7 h.
+	// shortQuarantine is the time for a part that may have crashed engines without enough evidence. It outlasts the time in
+	// which all entries learn of the quarantine, and agree on the one that tests the part.
 	firstQuarantine  = time.Minute
+	shortQuarantine  = 4 * time.Second
 	quarantineGrowth = 20
 	maxQuarantine    = 24 * time.Hour
 	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries test a part that its
@@ -239,17 +242,20 @@
 	}
 }
 
-// decide quarantines the parts that explain the settled crashes, and releases those that others explain better. The
+// decide quarantines the parts that explain the settled crashes, for a short time those that may, and releases those that others explain better. The
 // caller holds the lock.
 func (t *Tracker) decide() {
-	for {
-		suspects, conclusive := t.suspects(false)
-		if !conclusive {
-			break
-		}
+	suspects, conclusive := t.suspects(false)
+	for conclusive {
 		for part := range suspects {
 			t.impose(part, firstQuarantine)
 		}
+		suspects, conclusive = t.suspects(false)
+	}
+	for _, part := range t.shortSuspects(suspects) {
+		if t.quarantines[part] == nil {
+			t.impose(part, shortQuarantine)
+		}
 	}
 	for part := range t.quarantines {
 		if t.explainedBetter(part) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -93,9 +93,11 @@
 			begin(tr, c, 3, "kind", "subject")
 			for n := range 5 {
 				for _, parts := range [][]Part{{"kind", "subject"}, {"kind", "new"}} {
-					p := tr.Prompt(testService, parts)
-					p.Crashed(engine(n))
-					p.Done()
+					if n < crashesAtOnce-1 || parts[1] != "new" {
+						p := tr.Prompt(testService, parts)
+						p.Crashed(engine(n))
+						p.Done()
+					}
 				}
 				c.advance(5 * time.Millisecond)
 			}
@@ -140,6 +142,47 @@
 	}
 }
 
+// TestManyCrashesAtOnce guards against a burst of requests with a part that crashes many engines in the same moment and can
+// be repeated, and against refusing a new part for long whose engines lost power together.
+func TestManyCrashesAtOnce(t *testing.T) {
+	c := newClock()
+	a, b := New(c.now), New(c.now)
+	begin(a, c, 100, "kind")
+	for n := range crashesAtOnce {
+		p := a.Prompt(testService, []Part{"kind", "new"})
+		p.Crashed(engine(n))
+		p.Done()
+	}
+	exchangeReports(a, b)
+	c.advance(settleTime)
+	a.Sweep()
+	b.Sweep()
+	if isBlocked(a, "kind") || !isBlocked(a, "new") {
+		t.Error("the part of all requests is quarantined, or the one that may have crashed the engines is not")
+	}
+	exchangeReports(a, b)
+	c.advance(shortQuarantine)
+	var tests []*Prompt
+	for _, e := range []*Tracker{a, b} {
+		for range 3 {
+			p := e.Prompt(testService, []Part{"kind", "new"})
+			if part, _ := p.Blocked(); part == "" {
+				tests = append(tests, p)
+			}
+		}
+	}
+	if len(tests) != 1 {
+		t.Fatalf("%d requests test the part, want 1", len(tests))
+	}
+	tests[0].Begun()
+	exchangeReports(a, b)
+	for _, e := range []*Tracker{a, b} {
+		if isBlocked(e, "new") {
+			t.Error("the part is quarantined although an answer with it has begun")
+		}
+	}
+}
+
 // TestSuspectIsNotRetried guards against a request that crashes a second and a third engine by itself.
 func TestSuspectIsNotRetried(t *testing.T) {
 	c := newClock()
