quarantine: judge used parts by their share of requests and of crashes

Twenty answers without a part were the only evidence that a part with earlier answers crashes engines now. While all groups of a small deployment are closed no answers begin, so that a used part that crashes engines was never found: each time a group opened, the requests that had waited crashed it again. For a part that few requests have, twenty answers without it say nothing, so that parts of sound requests were quarantined when many engines were killed.

A used part needs as many answers as would hold three with it by its share of the requests, or five crashes and most of those at their time besides the twenty answers. A new part of two crashes must be in most of the crashes at that time. A part that is in four crashes, in most at their time and not common is quarantined for 4 s and tested, also if no answers begin. Used parts no longer count as the only suspect of a process with little evidence.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -17,6 +17,8 @@
 	// crashesAtOnce is the number of crashes under a part at which it is quarantined for shortQuarantine although they count
 	// as one. It is less than five, the number after which few requests with the part may still reach engines.
 	crashesAtOnce = 4
+	// nearTime is the time before and after the crashes under a part in which further crashes of the service count.
+	nearTime = time.Second
 	// commonShare is the share of the requests above which a part is common, and fewRequests the number up to which it is
 	// not. A common part is in the requests of every crash, whatever the cause.
 	commonShare = 0.125
@@ -24,6 +26,10 @@
 	// baselineAnswers is the number of answers that must have begun while none with the part did, before the lack of answers
 	// counts as evidence against the part.
 	baselineAnswers = 20
+	// missingAnswers is the number of answers with a part that would have begun meanwhile by its share of the requests, and
+	// crashesOfRarePart the number of crashes that replace this evidence for a part that few requests have.
+	missingAnswers    = 3
+	crashesOfRarePart = 5
 	// settleTime is the time after a crash in which peers report the requests that they had at the engine. Until then, a part
 	// that was there by chance cannot be told from the cause.
 	settleTime = 500 * time.Millisecond
@@ -318,8 +324,8 @@
 // returned. Crashes that are not settled count only if recent is set.
 func (t *Tracker) suspects(recent bool) (best map[Part]bool, conclusive bool) {
 	most := 0
-	service := ""
 	var oldest time.Time
+	var one *suspect // of the best
 	for part, s := range t.unexplained(recent) {
 		n, begun := s.independentCrashes(), t.historyOf(part).lastBegun
 		if n < crashesOfNewPart || n < most || !t.plausible(part, s) {
@@ -327,21 +333,21 @@
 		}
 		switch {
 		case n > most || begun.Before(oldest):
-			best, most, oldest, service = map[Part]bool{part: true}, n, begun, s.service
+			best, most, oldest, one = map[Part]bool{part: true}, n, begun, s
 		case begun.Equal(oldest):
 			best[part] = true
 		}
 	}
-	isNew := oldest.IsZero() && t.serviceOf(service).answers >= baselineAnswers
-	return best, most >= crashesOfUsedPart || isNew && len(best) == 1
+	isNew := len(best) == 1 && oldest.IsZero() && t.serviceOf(one.service).answers >= baselineAnswers
+	return best, most >= crashesOfUsedPart || isNew && t.explainsMost(one)
 }
 
-// shortSuspects returns the parts to quarantine for a short time, given the suspects that are not conclusive: a single one,
-// which may be all that an entry knows after a restart, and those of simultaneous crashes.
+// shortSuspects returns the parts to quarantine for a short time, given the suspects that are not conclusive: a single new
+// one, which may be all that an entry knows after a restart, and those of simultaneous crashes.
 func (t *Tracker) shortSuspects(inconclusive map[Part]bool) []Part {
 	found := t.simultaneousSuspects()
-	if len(inconclusive) == 1 {
-		for part := range inconclusive {
+	for part := range inconclusive {
+		if len(inconclusive) == 1 && t.historyOf(part).lastBegun.IsZero() {
 			found = append(found, part)
 		}
 	}
@@ -350,26 +356,28 @@
 
 // simultaneousSuspects returns the parts that are in at least crashesAtOnce crashes and in most of those at that time. The
 // crashes may have a common cause, as when engines lose power together, or a burst of requests with the part may have
-// reached many engines at once.
+// reached many engines at once. If all groups are closed, no answers can show which it is.
 func (t *Tracker) simultaneousSuspects() (found []Part) {
 	for part, s := range t.unexplained(false) {
-		if len(s.at) >= crashesAtOnce && 2*len(s.at) > t.crashesDuring(s) && t.plausible(part, s) {
+		if t.inManyCrashes(s, crashesAtOnce) && (t.isRare(part, s) || t.plausible(part, s)) {
 			found = append(found, part)
 		}
 	}
 	return found
 }
 
-// crashesDuring returns the number of crashes of the service from the first to the last one under a suspect.
-func (t *Tracker) crashesDuring(s *suspect) int {
-	first, last := slices.MinFunc(s.at, time.Time.Compare), slices.MaxFunc(s.at, time.Time.Compare)
+// explainsMost reports whether a suspect is in most of the unexplained crashes of its service at that time. When many engines
+// are killed, a request that was sent to a second one is in two of the crashes.
+func (t *Tracker) explainsMost(s *suspect) bool {
+	first := slices.MinFunc(s.at, time.Time.Compare).Add(-nearTime)
+	last := slices.MaxFunc(s.at, time.Time.Compare).Add(nearTime)
 	n := 0
 	for _, c := range t.crashes {
 		if c.service == s.service && !c.at.Before(first) && !c.at.After(last) && !t.explained(c) {
 			n++
 		}
 	}
-	return n
+	return 2*len(s.at) > n
 }
 
 // recentSuspects keeps the suspects of all crashes, since each request needs them while a crash is not settled.
@@ -395,10 +403,32 @@
 // and one with which answers have begun has not crashed engines before. Answers of the service that begin without it while
 // none does with it must show that it does now.
 func (t *Tracker) plausible(part Part, s *suspect) bool {
-	h := t.historyOf(part)
-	common := h.common || t.serviceOf(s.service).answers < baselineAnswers && t.isCommon(s.service, h)
-	if h.lastBegun.IsZero() && !common {
+	common, h := t.wasCommon(part, s), t.historyOf(part)
+	switch {
+	case common:
+		return s.answers >= baselineAnswers
+	case h.lastBegun.IsZero():
 		return true
 	}
-	return s.answers >= baselineAnswers
+	return t.expectedAnswers(h, s) >= missingAnswers || s.answers >= baselineAnswers && t.inManyCrashes(s, crashesOfRarePart)
+}
+
+// wasCommon reports whether a part was common before the crashes under it, as far as the process knows after its start.
+func (t *Tracker) wasCommon(part Part, s *suspect) bool {
+	h := t.historyOf(part)
+	return h.common || t.serviceOf(s.service).answers < baselineAnswers && t.isCommon(s.service, h)
+}
+
+// isRare reports whether a part was not common, as far as the process has seen enough requests of the service to know.
+func (t *Tracker) isRare(part Part, s *suspect) bool {
+	return !t.wasCommon(part, s) && t.serviceOf(s.service).answers >= baselineAnswers
+}
+
+// inManyCrashes reports whether a suspect is in at least n crashes, and in most of those at that time.
+func (t *Tracker) inManyCrashes(s *suspect, n int) bool { return len(s.at) >= n && t.explainsMost(s) }
+
+// expectedAnswers returns the number of answers with a part that would have begun since the first crash by its share of the
+// requests.
+func (t *Tracker) expectedAnswers(h *history, s *suspect) float64 {
+	return h.requests / max(1, t.serviceOf(s.service).requests) * float64(s.answers)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -92,8 +92,8 @@
 			begin(tr, c, 100, "kind")
 			begin(tr, c, 3, "kind", "subject")
 			for n := range 5 {
-				for _, parts := range [][]Part{{"kind", "subject"}, {"kind", "new"}} {
-					if n < crashesAtOnce-1 || parts[1] != "new" {
+				for _, parts := range [][]Part{{"kind"}, {"kind", "subject"}, {"kind", "new"}} {
+					if n < crashesAtOnce-1 || len(parts) == 1 {
 						p := tr.Prompt(testService, parts)
 						p.Crashed(engine(n))
 						p.Done()
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -54,6 +54,7 @@
 	running  []*request
 	waiting  []*request // for a group to open
 	subjects int
+	used     Part // part that a few sound requests have; empty for none
 }
 
 // request is a request of the storm.
@@ -68,6 +69,8 @@
 }
 
 const (
+	middleParts  = 20
+	usedPeriod   = 50 // one of so many sound requests has the used part
 	stormStep    = 10 * time.Millisecond
 	minDownTime  = 3 * time.Second
 	maxDownTime  = 5 * time.Second
@@ -100,9 +103,11 @@
 	return s
 }
 
-// parts returns the shared parts of a sound request: that of its kind, and for some a rare one.
+// parts returns the shared parts of a sound request: that of its kind, a middle one, and for some a rare one. Middle parts
+// are in 22 % to 0.7 % of the requests.
 func (s *storm) parts() []Part {
-	out := []Part{Part(fmt.Sprintf("kind-%d", s.rng.IntN(3)))}
+	middle := int(middleParts * s.rng.Float64() * s.rng.Float64())
+	out := []Part{Part(fmt.Sprintf("kind-%d", s.rng.IntN(3))), Part(fmt.Sprintf("middle-%d", middle))}
 	if s.rng.IntN(4) == 0 {
 		s.subjects++
 		out = append(out, Part(fmt.Sprintf("subject-%d", s.subjects/4)))
@@ -115,8 +120,11 @@
 
 func (s *storm) sendThrough(entry int, bad Part) {
 	parts := s.parts()
-	if bad != "" {
+	switch {
+	case bad != "":
 		parts = append(parts, bad)
+	case s.used != "" && s.rng.IntN(usedPeriod) == 0:
+		parts = append(parts, s.used)
 	}
 	s.place(&request{prompt: s.trackers[entry].Prompt(testService, parts), bad: bad, until: s.clock.now().Add(s.queueTime)})
 }
@@ -319,6 +327,8 @@
 	// Shares of the sound requests that may be refused in a storm, and otherwise.
 	maxRefusedInStorm = 0.01
 	maxRefused        = 0.002
+	// A request that was sent to two engines that were killed one after the other may have a part of its own.
+	maxRefusedInFailures = 0.0002
 )
 
 // late returns the number of requests with a bad part that reached engines later than the stop time after the fifth crash.
@@ -412,6 +422,67 @@
 	})
 }
 
+// TestStormOfAUsedPart guards against a part that crashes engines and is not found because it was in sound answers before.
+func TestStormOfAUsedPart(t *testing.T) {
+	for name, l := range stormLayouts {
+		t.Run(name, func(t *testing.T) {
+			playStorms(t, l.layout, l.seeds, maxRefusedInStorm, func(s *storm, seed uint64) time.Time {
+				s.used = "bad"
+				s.run(8*time.Second, 0)
+				s.used = ""
+				s.run(30*time.Second, []float64{0.5, 2, 20}[seed%3], "bad")
+				return time.Time{}
+			})
+		})
+	}
+}
+
+// TestFailuresWithoutACause guards against quarantines of parts that are in the requests of crashes with another cause: a
+// data centre that is lost within a second, engines that are killed one after the other, or those of one group.
+func TestFailuresWithoutACause(t *testing.T) {
+	for name, l := range stormLayouts {
+		for failure, fail := range map[string]func(s *storm){
+			"data centre": (*storm).loseDataCentre, "one by one": (*storm).killOneByOne, "group": (*storm).killGroup,
+		} {
+			t.Run(name+", "+failure, func(t *testing.T) {
+				playStorms(t, l.layout, l.seeds, maxRefusedInFailures, func(s *storm, _ uint64) time.Time {
+					for range 3 {
+						fail(s)
+						s.run(6*time.Second, 0)
+					}
+					return time.Time{}
+				})
+			})
+		}
+	}
+}
+
+// loseDataCentre crashes the engines of a third of the groups, at least of one, within a second.
+func (s *storm) loseDataCentre() {
+	lost := s.rng.Perm((max(1, s.groups/3)) * s.perGroup)
+	for _, e := range lost {
+		s.crash(e)
+		s.run(max(stormStep, time.Second/time.Duration(len(lost))), 0)
+	}
+}
+
+// killOneByOne crashes an engine every half second.
+func (s *storm) killOneByOne() {
+	for range 12 {
+		s.crash(s.rng.IntN(s.groups * s.perGroup))
+		s.run(500*time.Millisecond, 0)
+	}
+}
+
+// killGroup crashes the engines of one group within its stall.
+func (s *storm) killGroup() {
+	group := s.rng.IntN(s.groups)
+	for e := range s.perGroup {
+		s.crash(group*s.perGroup + e)
+		s.run(150*time.Millisecond, 0)
+	}
+}
+
 // TestStormInALargeFleet guards against evidence that spreads too slowly or gets lost between data centres that exchange
 // reports through few entries, and against too many requests with a part under way at many entries.
 func TestStormInALargeFleet(t *testing.T) {
