--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -55,26 +55,29 @@
 // TARGET@GROUP:RESULT/ENDING/EVENTS:START+DURATION(ERROR), where START is relative to the request's arrival. What does not
 // apply is left out.
 func formatAttempts(list []gateway.Attempt) string {
-	var b strings.Builder
+	out := make([]string, len(list))
 	for i, a := range list {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		b.WriteString(a.Target)
-		if a.Group != "" {
-			b.WriteString("@" + a.Group)
-		}
-		b.WriteString(":" + a.Result)
-		if a.Ending != "" {
-			b.WriteString("/" + string(a.Ending))
-		}
-		if a.Events > 0 {
-			b.WriteString("/" + strconv.Itoa(a.Events))
-		}
-		b.WriteString(":" + a.Started.String() + "+" + a.Took.String())
-		if a.Err != nil {
-			b.WriteString("(" + a.Err.Error() + ")")
-		}
+		out[i] = formatAttempt(a)
+	}
+	return strings.Join(out, ",")
+}
+
+func formatAttempt(a gateway.Attempt) string {
+	var b strings.Builder
+	b.WriteString(a.Target)
+	if a.Group != "" {
+		b.WriteString("@" + a.Group)
+	}
+	b.WriteString(":" + a.Result)
+	if a.Ending != "" {
+		b.WriteString("/" + string(a.Ending))
+	}
+	if a.Events > 0 {
+		b.WriteString("/" + strconv.Itoa(a.Events))
+	}
+	b.WriteString(":" + a.Started.String() + "+" + a.Took.String())
+	if a.Err != nil {
+		b.WriteString("(" + a.Err.Error() + ")")
 	}
 	return b.String()
 }
@@ -148,14 +151,11 @@
 
 // joinParts returns parts of a prompt as comma-separated text.
 func joinParts(parts []quarantine.Part) string {
-	var b strings.Builder
+	ids := make([]string, len(parts))
 	for i, p := range parts {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		b.WriteString(string(p))
+		ids[i] = string(p)
 	}
-	return b.String()
+	return strings.Join(ids, ",")
 }
 
 // logReadiness logs a change of the process's readiness, with the configuration version and target list revision in
