quarantine: send a part at once that an answer has cleared

A part that was held off stayed so for up to 50 ms after an answer with it had begun, since the suspects are kept for that time. They are dropped when an answer clears one. TestClearedSuspectIsSentAtOnce failed before and passes.

Tracker.Answers was used by TestWhatIsNoCrash only and is removed. The test asks now whether an answer releases a quarantined part, which is what begun answers are for.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -155,31 +155,41 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, target.Reset(), target.Reset())
 			f.first.SetBehaviour(c.b(f))
-			crashes := 0
+			clock := f.quarantinePart("bb02")
+			clock.advance(5 * time.Minute) // the request tests the part
+			crashes, begun := 0, false
 			f.gateway.Quarantine.Notify = func(e quarantine.Event) {
-				if e.Kind == quarantine.EventCrash {
+				switch e.Kind {
+				case quarantine.EventCrash:
 					crashes++
+				case quarantine.EventReleased:
+					begun = true
 				}
 			}
 			f.do("POST", "/unsafe/x", "prompt", prompt...)
+			<-f.records // the request has ended at the gateway
 			if crashes != c.crashes {
 				t.Errorf("%d crashes, want %d", crashes, c.crashes)
 			}
-			if begun := f.gateway.Quarantine.Answers() == 1; begun != c.begun {
+			if begun != c.begun {
 				t.Errorf("the answer has begun: %v, want %v", begun, c.begun)
 			}
 		})
 	}
 }
 
-// TestFailedTestIsNotRetried guards against a test of a quarantined part that reaches a second engine because the first one
-// was not seen to refuse connections.
-func TestFailedTestIsNotRetried(t *testing.T) {
-	f := newFixture(t, target.Reset(), target.Reset())
-	now := time.Now().Add(-24 * time.Hour)
-	f.gateway.Quarantine = quarantine.New(func() time.Time { return now })
+// testClock is a settable clock.
+type testClock struct{ t time.Time }
+
+func (c *testClock) now() time.Time          { return c.t }
+func (c *testClock) advance(d time.Duration) { c.t = c.t.Add(d) }
+
+// quarantinePart gives the gateway a tracker that has quarantined a part, and returns the clock of the tracker.
+func (f *fixture) quarantinePart(part quarantine.Part) *testClock {
+	c := &testClock{time.Now().Add(-24 * time.Hour)}
+	f.gateway.Quarantine = quarantine.New(c.now)
 	send := func(part quarantine.Part) *quarantine.Prompt {
-		now = now.Add(time.Second)
+		c.advance(time.Second)
 		return f.gateway.Quarantine.Prompt("s", []quarantine.Part{part})
 	}
 	for range 100 {
@@ -188,23 +198,32 @@
 		p.Done()
 	}
 	for n := range 2 {
-		p := send(crashingPart)
-		p.Crashed(targetset.Incarnation{ID: "i-1", StartedAtMs: int64(n)})
+		p := send(part)
+		p.Crashed(targetset.Incarnation{ID: "i-1", StartedAtMs: int64(1 + n)})
 		p.Done()
 	}
-	now = now.Add(time.Second)
+	c.advance(time.Second)
+	f.gateway.Quarantine.Sweep()
+	return c
+}
+
+// TestFailedTestIsNotRetried guards against a test of a quarantined part that reaches a second engine because the first one
+// was not seen to refuse connections.
+func TestFailedTestIsNotRetried(t *testing.T) {
+	f := newFixture(t, target.Reset(), target.Reset())
+	clock := f.quarantinePart(crashingPart)
 	prompt := []string{promptHeader, "aa01:40," + crashingPart + ":90,c:1"}
 	if a := f.do("POST", "/safe/x", "prompt", prompt...); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
 		t.Fatalf("status %d, want 503 with Retry-After: the part is quarantined", a.status)
 	}
-	now = now.Add(5 * time.Minute)
+	clock.advance(5 * time.Minute)
 	if a := f.do("POST", "/safe/x", "prompt", prompt...); a.status != http.StatusBadGateway {
 		t.Errorf("status %d of the request that tests the part, want 502", a.status)
 	}
 	if n := f.arrivals(); n != 1 {
 		t.Errorf("%d arrivals at engines, want 1", n)
 	}
-	now = now.Add(10 * time.Minute)
+	clock.advance(10 * time.Minute)
 	f.do("POST", "/safe/x", "prompt", prompt...)
 	if n := f.arrivals(); n != 1 {
 		t.Errorf("%d arrivals at engines, want 1: the test that was lost has failed", n)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -191,6 +191,9 @@
 	if at.After(h.lastBegun) {
 		h.lastBegun = at
 	}
+	if t.recent.parts[part] {
+		t.recent = recentSuspects{}
+	}
 	if q := t.quarantines[part]; q != nil && at.After(q.since) {
 		delete(t.quarantines, part)
 		t.released[part] = t.now()
@@ -313,14 +316,3 @@
 	defer t.mu.Unlock()
 	return len(t.quarantines)
 }
-
-// Answers returns the number of requests whose answers have begun.
-func (t *Tracker) Answers() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, s := range t.services {
-		n += s.answers
-	}
-	return n
-}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -327,6 +327,23 @@
 	}
 }
 
+// TestClearedSuspectIsSentAtOnce guards against a part that is held off although an answer has cleared it.
+func TestClearedSuspectIsSentAtOnce(t *testing.T) {
+	c := newClock()
+	tr := New(c.now)
+	begin(tr, c, 100, "kind")
+	under := tr.Prompt(testService, []Part{"kind", "subject"})
+	crashUnder(tr, c, 1, "kind", "subject")
+	crashUnder(tr, c, 2, "kind", "subject")
+	if !isBlocked(tr, "subject") {
+		t.Fatal("the part is not held off after two crashes")
+	}
+	under.Begun()
+	if isBlocked(tr, "subject") {
+		t.Error("the part is held off although an answer with it has begun")
+	}
+}
+
 // TestCrashesOfOneService guards against a quarantine of the part of all requests of a service whose group falls one rank
 // after the other, because another service goes on answering.
 func TestCrashesOfOneService(t *testing.T) {
