quarantine: later crashes replace those of a lost data centre

When many engines had crashed, their crashes filled the memory of 64, and for a minute no later one was recorded, so that a part that began to crash engines then was not found. A crash now replaces one that is older by 5 s, which is longer than entries send each other crashes. TestStormAfterManyFailures failed before and passes.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -36,9 +36,10 @@
 	// crashRetention is the time for which a crash counts.
 	crashRetention = 30 * time.Minute
 	// maxCrashes bounds the crashes that are stored. When it is reached, a crash replaces only one that is older by
-	// replaceAge, since entries would otherwise send each other replaced ones again and again.
+	// replaceAge, since entries would otherwise send each other replaced ones again and again. The age is longer than
+	// crashShareTime, and short, so that the crashes of a lost data centre do not hide later ones.
 	maxCrashes = 64
-	replaceAge = time.Minute
+	replaceAge = 5 * time.Second
 	// maxPartsPerCrash bounds the parts that are stored for a crash.
 	maxPartsPerCrash = 64
 	// maxHistories bounds the parts that are remembered.
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -44,6 +44,7 @@
 	rng      *rand.Rand
 	clock    *clock
 	trackers []*Tracker
+	live     []int                // positions of the entries that are running
 	pairs    [][2]int             // entries that exchange reports
 	closed   []time.Time          // groups are closed until then
 	started  int                  // incarnations of engines
@@ -85,8 +86,9 @@
 func newStorm(seed uint64, l layout) *storm {
 	s := &storm{layout: l, rng: rand.New(rand.NewPCG(seed, 0)), clock: newClock(), closed: make([]time.Time, l.groups),
 		crashes: map[Part][]time.Time{}, reached: map[Part][]time.Time{}}
-	for range l.entries {
+	for i := range l.entries {
 		s.trackers = append(s.trackers, New(s.clock.now))
+		s.live = append(s.live, i)
 	}
 	for i := range l.entries {
 		for j := range i {
@@ -116,7 +118,7 @@
 }
 
 // send sends one request through any entry. It has the bad part unless that is empty.
-func (s *storm) send(bad Part) { s.sendThrough(s.rng.IntN(s.entries), bad) }
+func (s *storm) send(bad Part) { s.sendThrough(s.live[s.rng.IntN(len(s.live))], bad) }
 
 func (s *storm) sendThrough(entry int, bad Part) {
 	parts := s.parts()
@@ -311,13 +313,21 @@
 
 // burst sends a number of requests with a bad part through each entry at once.
 func (s *storm) burst(perEntry int, bad Part) {
-	for i := range s.trackers {
+	for _, i := range s.live {
 		for range perEntry {
 			s.sendThrough(i, bad)
 		}
 	}
 }
 
+// loseEntry ends a running entry. The others find no other partner in its place.
+func (s *storm) loseEntry() {
+	at := s.rng.IntN(len(s.live))
+	lost := s.live[at]
+	s.live = slices.Delete(s.live, at, at+1)
+	s.pairs = slices.DeleteFunc(s.pairs, func(p [2]int) bool { return p[0] == lost || p[1] == lost })
+}
+
 const (
 	// crashesUntilStop is the number of crashes under one part after which, and after the stop time of the layout, no more
 	// than lateRequests with it may reach engines.
@@ -492,6 +502,18 @@
 	})
 }
 
+// TestStormWithLostEntries guards against evidence that gets lost with the entries through which data centres exchange it.
+func TestStormWithLostEntries(t *testing.T) {
+	playStorms(t, largeLayout, 6, maxRefusedInStorm, func(s *storm, seed uint64) time.Time {
+		for range 20 {
+			s.loseEntry()
+			s.run(200*time.Millisecond, []float64{1, 5, 40}[seed%3], "bad")
+		}
+		s.run(15*time.Second, []float64{1, 5, 40}[seed%3], "bad")
+		return time.Time{}
+	})
+}
+
 // TestBursts guards against bursts of requests with a part at all entries at the same moment, which crash engines in the
 // same moment, so that their crashes count as one.
 func TestBursts(t *testing.T) {
