gateway: look again at a target that has lost a request and accepts connections

A crash counted only if the target refused connections at once. A process that ends may close its listener after the connections of its requests, so that the evidence was lost. The target is looked at again after 0.2 s; the request does not wait for that. TestEngineThatRefusesLate: no crash recorded before, one now.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,6 +1,12 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/quarantine"
+	"github.com/camphorbank/camphorbank/internal/targetset"
+)
 
 // begunEvents is the number of events after which the answer of an engine has begun for certain. An engine that crashes
 // under a prompt may still send the first one.
@@ -27,6 +33,7 @@
 		return false
 	}
 	if r.ending != BrokenCrash && !x.targetCrashed() {
+		go x.g.recordLateCrash(x.prompt, x.lease.Target)
 		return false
 	}
 	x.prompt.Crashed(x.lease.Target.Incarnation())
@@ -34,9 +41,24 @@
 	return true
 }
 
-// targetCrashed reports whether the process of the present attempt's target has ended. One that is leaving may have
-// stopped as planned.
+// targetCrashed reports whether the process of the present attempt's target has ended.
 func (x *exchange) targetCrashed() bool {
-	t := x.lease.Target
-	return !x.g.Targets.IsLeaving(t.Incarnation()) && x.g.Pool.Refused(context.WithoutCancel(x.ctx), t.Addr)
+	return x.g.hasCrashed(context.WithoutCancel(x.ctx), x.lease.Target)
+}
+
+// hasCrashed reports whether the process of a target has ended. One that is leaving may have stopped as planned.
+func (g *Gateway) hasCrashed(ctx context.Context, t *targetset.Target) bool {
+	return !g.Targets.IsLeaving(t.Incarnation()) && g.Pool.Refused(ctx, t.Addr)
+}
+
+// lateCrashDelay is the time after which a target that has lost a request and accepts connections is looked at again. A
+// process that ends may close its listener after the connections of its requests.
+const lateCrashDelay = 200 * time.Millisecond
+
+// recordLateCrash records a crash for the parts of the prompt if the target refuses connections after lateCrashDelay.
+func (g *Gateway) recordLateCrash(p *quarantine.Prompt, t *targetset.Target) {
+	time.Sleep(lateCrashDelay)
+	if g.hasCrashed(context.Background(), t) {
+		p.Crashed(t.Incarnation())
+	}
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,7 +134,7 @@
 	prompt := []string{promptHeader, "aa01:40,bb02:9,cc:1"}
 	for name, c := range map[string]struct {
 		b       func(f *fixture) target.Behaviour
-		crashes int
+		crashes int32
 		begun   bool
 	}{
 		"crash": {func(f *fixture) target.Behaviour {
@@ -157,22 +158,23 @@
 			f.first.SetBehaviour(c.b(f))
 			clock := f.quarantinePart("bb02")
 			clock.advance(5 * time.Minute) // the request tests the part
-			crashes, begun := 0, false
+			var crashes atomic.Int32
+			var begun atomic.Bool
 			f.gateway.Quarantine.Notify = func(e quarantine.Event) {
 				switch e.Kind {
 				case quarantine.EventCrash:
-					crashes++
+					crashes.Add(1)
 				case quarantine.EventReleased:
-					begun = true
+					begun.Store(true)
 				}
 			}
 			f.do("POST", "/unsafe/x", "prompt", prompt...)
 			<-f.records // the request has ended at the gateway
-			if crashes != c.crashes {
-				t.Errorf("%d crashes, want %d", crashes, c.crashes)
+			if n := crashes.Load(); n != c.crashes {
+				t.Errorf("%d crashes, want %d", n, c.crashes)
 			}
-			if begun != c.begun {
-				t.Errorf("the answer has begun: %v, want %v", begun, c.begun)
+			if begun.Load() != c.begun {
+				t.Errorf("the answer has begun: %v, want %v", begun.Load(), c.begun)
 			}
 		})
 	}
@@ -247,3 +249,26 @@
 		t.Errorf("crashes of %q, want that of i-2", crashed)
 	}
 }
+
+// TestEngineThatRefusesLate guards against a crash that is not noticed because the process of the engine still accepts
+// connections for a moment after it has closed those of its requests.
+func TestEngineThatRefusesLate(t *testing.T) {
+	f := newFixture(t, target.Reset(), target.Answer(200, "ok"))
+	f.first.SetBehaviour(func(c net.Conn, a target.Arrival) bool {
+		time.AfterFunc(50*time.Millisecond, f.first.Crash)
+		return target.Reset()(c, a)
+	})
+	crashed := make(chan string, 1)
+	f.gateway.Quarantine.Notify = func(e quarantine.Event) { crashed <- e.Engine }
+	if a := f.do("POST", "/safe/x", "prompt", promptHeader, "aa01:40,bb02:9,cc:1"); a.status != http.StatusOK {
+		t.Errorf("status %d of a request that may be retried", a.status)
+	}
+	select {
+	case engine := <-crashed:
+		if engine != "i-1" {
+			t.Errorf("crash of %q, want that of i-1", engine)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("no crash is recorded")
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -179,9 +179,12 @@
 
 // Lost records that an engine may have run the request and that its answer was lost, for whatever reason.
 func (p *Prompt) Lost() {
-	if p != nil {
-		p.lost = true
+	if p == nil {
+		return
 	}
+	p.tracker.mu.Lock()
+	defer p.tracker.mu.Unlock()
+	p.lost = true
 }
 
 // partBegun records that an answer with the part began at a time, and ends a quarantine that was imposed before. The
@@ -201,7 +204,8 @@
 	}
 }
 
-// Crashed records that an engine crashed while it held the request, whose answer had not begun.
+// Crashed records that an engine crashed while it held the request, whose answer had not begun there. It may be called after
+// Done.
 func (p *Prompt) Crashed(engine targetset.Incarnation) {
 	if p == nil {
 		return
