quarantine: tell callers the time of the origin's test

Entries that did not impose a quarantine told callers to come back when they may test the part themselves, 11 to 21 min later (1.5 to 2 min before their tests were put off), although the origin tests it after a minute.

--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -154,3 +154,24 @@
 		}
 	}
 }
+
+// TestRetryAfterAtOtherEntries guards against callers that are told to come back when this entry may test the part, although
+// the entry that imposed the quarantine tests it much earlier.
+func TestRetryAfterAtOtherEntries(t *testing.T) {
+	c := newClock()
+	a, b := New(c.now), New(c.now)
+	begin(a, c, 100, "kind")
+	crashUnder(a, c, 1, "kind", "bad")
+	crashUnder(a, c, 2, "kind", "bad")
+	c.advance(settleTime)
+	a.Sweep()
+	exchangeReports(a, b)
+	p := b.Prompt(testService, []Part{"bad"})
+	if part, left := p.Blocked(); part != "bad" || left < firstQuarantine/2 || left > firstQuarantine+testTime {
+		t.Errorf("%q is refused for %v, want about %v", part, left, firstQuarantine)
+	}
+	c.advance(firstQuarantine)
+	if part, left := p.Blocked(); part != "bad" || left <= 0 || left > testTime {
+		t.Errorf("%q is refused for %v after the quarantine, want at most %v", part, left, testTime)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -117,7 +117,7 @@
 		switch {
 		case q == nil, q.testing == p && !p.lost:
 		case now.Before(q.testAfter):
-			return part, q.testAfter.Sub(now)
+			return part, q.retryAfter(now)
 		case q.testing != nil: // also by this request, which must not reach a second engine
 			return part, testTime
 		}
@@ -126,6 +126,19 @@
 	return "", 0
 }
 
+// retryAfter returns the time after which the result of a test may be known: one by the origin, which tests the part at the
+// end of the quarantine, or one by this entry.
+func (q *quarantine) retryAfter(now time.Time) time.Duration {
+	result := q.until.Add(testTime)
+	if !now.Before(q.until) {
+		result = now.Add(testTime)
+	}
+	if q.testAfter.Before(result) {
+		result = q.testAfter
+	}
+	return result.Sub(now)
+}
+
 // heldOff returns a part of the request that is a suspect while any crash is not settled, or an empty part. The caller
 // holds the tracker's lock.
 func (p *Prompt) heldOff() Part {
