--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,7 +134,7 @@
 	prompt := []string{promptHeader, "aa01:40,bb02:9,cc:1"}
 	for name, c := range map[string]struct {
 		b       func(f *fixture) target.Behaviour
-		crashes int
+		crashes int32
 		begun   bool
 	}{
 		"crash": {func(f *fixture) target.Behaviour {
@@ -154,19 +156,119 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, target.Reset(), target.Reset())
 			f.first.SetBehaviour(c.b(f))
-			crashes := 0
+			clock := f.quarantinePart("bb02")
+			clock.advance(5 * time.Minute) // the request tests the part
+			var crashes atomic.Int32
+			var begun atomic.Bool
 			f.gateway.Quarantine.Notify = func(e quarantine.Event) {
-				if e.Kind == quarantine.EventCrash {
-					crashes++
+				switch e.Kind {
+				case quarantine.EventCrash:
+					crashes.Add(1)
+				case quarantine.EventReleased:
+					begun.Store(true)
 				}
 			}
 			f.do("POST", "/unsafe/x", "prompt", prompt...)
-			if crashes != c.crashes {
-				t.Errorf("%d crashes, want %d", crashes, c.crashes)
+			<-f.records // the request has ended at the gateway
+			if n := crashes.Load(); n != c.crashes {
+				t.Errorf("%d crashes, want %d", n, c.crashes)
 			}
-			if begun := f.gateway.Quarantine.Answers() == 1; begun != c.begun {
-				t.Errorf("the answer has begun: %v, want %v", begun, c.begun)
+			if begun.Load() != c.begun {
+				t.Errorf("the answer has begun: %v, want %v", begun.Load(), c.begun)
 			}
 		})
 	}
 }
+
+// testClock is a settable clock.
+type testClock struct{ t time.Time }
+
+func (c *testClock) now() time.Time          { return c.t }
+func (c *testClock) advance(d time.Duration) { c.t = c.t.Add(d) }
+
+// quarantinePart gives the gateway a tracker that has quarantined a part, and returns the clock of the tracker.
+func (f *fixture) quarantinePart(part quarantine.Part) *testClock {
+	c := &testClock{time.Now().Add(-24 * time.Hour)}
+	f.gateway.Quarantine = quarantine.New(c.now)
+	send := func(part quarantine.Part) *quarantine.Prompt {
+		c.advance(time.Second)
+		return f.gateway.Quarantine.Prompt("s", []quarantine.Part{part})
+	}
+	for range 100 {
+		p := send("aa01")
+		p.Begun()
+		p.Done()
+	}
+	for n := range 2 {
+		p := send(part)
+		p.Crashed(targetset.Incarnation{ID: "i-1", StartedAtMs: int64(1 + n)})
+		p.Done()
+	}
+	c.advance(time.Second)
+	f.gateway.Quarantine.Sweep()
+	return c
+}
+
+// TestFailedTestIsNotRetried guards against a test of a quarantined part that reaches a second engine because the first one
+// was not seen to refuse connections.
+func TestFailedTestIsNotRetried(t *testing.T) {
+	f := newFixture(t, target.Reset(), target.Reset())
+	clock := f.quarantinePart(crashingPart)
+	prompt := []string{promptHeader, "aa01:40," + crashingPart + ":90,c:1"}
+	if a := f.do("POST", "/safe/x", "prompt", prompt...); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, want 503 with Retry-After: the part is quarantined", a.status)
+	}
+	clock.advance(5 * time.Minute)
+	if a := f.do("POST", "/safe/x", "prompt", prompt...); a.status != http.StatusBadGateway {
+		t.Errorf("status %d of the request that tests the part, want 502", a.status)
+	}
+	if n := f.arrivals(); n != 1 {
+		t.Errorf("%d arrivals at engines, want 1", n)
+	}
+	clock.advance(10 * time.Minute)
+	f.do("POST", "/safe/x", "prompt", prompt...)
+	if n := f.arrivals(); n != 1 {
+		t.Errorf("%d arrivals at engines, want 1: the test that was lost has failed", n)
+	}
+}
+
+// TestCrashUnderAContinuation guards against a crash of a second engine that counts for nothing because the first one had
+// begun the answer.
+func TestCrashUnderAContinuation(t *testing.T) {
+	f := newFixture(t, target.Stream(3, time.Millisecond, true), target.Reset())
+	f.second.SetBehaviour(func(net.Conn, target.Arrival) bool { f.second.Crash(); return false })
+	var crashed []string
+	f.gateway.Quarantine.Notify = func(e quarantine.Event) {
+		if e.Kind == quarantine.EventCrash {
+			crashed = append(crashed, e.Engine)
+		}
+	}
+	f.do("POST", "/stream/x", "prompt", promptHeader, "aa01:40,bb02:9,cc:1")
+	<-f.records // the request has ended at the gateway
+	if !slices.Equal(crashed, []string{"i-2"}) {
+		t.Errorf("crashes of %q, want that of i-2", crashed)
+	}
+}
+
+// TestEngineThatRefusesLate guards against a crash that is not noticed because the process of the engine still accepts
+// connections for a moment after it has closed those of its requests.
+func TestEngineThatRefusesLate(t *testing.T) {
+	f := newFixture(t, target.Reset(), target.Answer(200, "ok"))
+	f.first.SetBehaviour(func(c net.Conn, a target.Arrival) bool {
+		time.AfterFunc(50*time.Millisecond, f.first.Crash)
+		return target.Reset()(c, a)
+	})
+	crashed := make(chan string, 1)
+	f.gateway.Quarantine.Notify = func(e quarantine.Event) { crashed <- e.Engine }
+	if a := f.do("POST", "/safe/x", "prompt", promptHeader, "aa01:40,bb02:9,cc:1"); a.status != http.StatusOK {
+		t.Errorf("status %d of a request that may be retried", a.status)
+	}
+	select {
+	case engine := <-crashed:
+		if engine != "i-1" {
+			t.Errorf("crash of %q, want that of i-1", engine)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("no crash is recorded")
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -22,15 +22,21 @@
 type Part string
 
 const (
-	// firstQuarantine is the first time for which a part is quarantined. It doubles each time that an engine crashes
-	// under the part again, up to maxQuarantine.
-	firstQuarantine = time.Minute
-	maxQuarantine   = time.Hour
-	// testSpread is the share of a quarantine over which entries spread their tests of a part whose origin does not test
-	// it, so that one of them learns the result before the others send theirs.
-	testSpread = 0.5
-	// testPauseShare is the share of a quarantine, as a divisor, after which a test that ended without a result is
-	// repeated, and testTime the time after which a caller that is refused during a test may return.
+	// firstQuarantine is the first time for which a part is quarantined. Each test that fails multiplies it by
+	// quarantineGrowth, up to maxQuarantine. Each of these tests crashes an engine, so that there must be few in a day:
+	// they begin after 1 min, 21 min and 7 h.
+	// shortQuarantine is the time for a part that may have crashed engines without enough evidence. It outlasts the time in
+	// which all entries learn of the quarantine, and agree on the one that tests the part.
+	firstQuarantine  = time.Minute
+	shortQuarantine  = 4 * time.Second
+	quarantineGrowth = 20
+	maxQuarantine    = 24 * time.Hour
+	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries test a part that its
+	// origin has not tested. They spread their tests over as long again, so that one of them learns the result before the
+	// others send theirs.
+	otherTestDelay = 10
+	// testPauseShare is the share of a quarantine, as a divisor, after which a test that reached no engine is repeated, and
+	// testTime the time after which a caller that is refused during a test may return.
 	testPauseShare = 10
 	testTime       = 2 * time.Second
 )
@@ -75,7 +81,8 @@
 	tracker *Tracker
 	service string
 	parts   []Part
-	begun   bool
+	begun   bool   // the answer has, at the engine to which the request was sent last
+	lost    bool   // an engine may have run the request, and its answer was lost
 	tests   []Part // quarantined parts that the request tests
 }
 
@@ -107,13 +114,11 @@
 	}
 	for _, part := range p.parts {
 		q := t.quarantines[part]
-		if q == nil || q.testing == p {
-			continue
-		}
-		if now.Before(q.testAfter) {
-			return part, q.testAfter.Sub(now)
-		}
-		if q.testing != nil {
+		switch {
+		case q == nil, q.testing == p && !p.lost:
+		case now.Before(q.testAfter):
+			return part, q.retryAfter(now)
+		case q.testing != nil: // also by this request, which must not reach a second engine
 			return part, testTime
 		}
 	}
@@ -121,6 +126,19 @@
 	return "", 0
 }
 
+// retryAfter returns the time after which the result of a test may be known: one by the origin, which tests the part at the
+// end of the quarantine, or one by this entry.
+func (q *quarantine) retryAfter(now time.Time) time.Duration {
+	result := q.until.Add(testTime)
+	if !now.Before(q.until) {
+		result = now.Add(testTime)
+	}
+	if q.testAfter.Before(result) {
+		result = q.testAfter
+	}
+	return result.Sub(now)
+}
+
 // heldOff returns a part of the request that is a suspect while any crash is not settled, or an empty part. The caller
 // holds the tracker's lock.
 func (p *Prompt) heldOff() Part {
@@ -146,6 +164,13 @@
 	}
 }
 
+// Sent records that the request is sent to an engine. The answer has not begun there, even if an earlier engine had begun it.
+func (p *Prompt) Sent() {
+	if p != nil {
+		p.begun = false
+	}
+}
+
 // Begun records that the answer to the request has begun, so that none of its parts crashes an engine.
 func (p *Prompt) Begun() {
 	if p == nil || p.begun {
@@ -162,9 +187,19 @@
 	}
 }
 
-// HasBegun reports whether an answer to the request has begun.
+// HasBegun reports whether the engine to which the request was sent last has begun its answer.
 func (p *Prompt) HasBegun() bool { return p != nil && p.begun }
 
+// Lost records that an engine may have run the request and that its answer was lost, for whatever reason.
+func (p *Prompt) Lost() {
+	if p == nil {
+		return
+	}
+	p.tracker.mu.Lock()
+	defer p.tracker.mu.Unlock()
+	p.lost = true
+}
+
 // partBegun records that an answer with the part began at a time, and ends a quarantine that was imposed before. The
 // caller holds the lock.
 func (t *Tracker) partBegun(part Part, at time.Time) {
@@ -172,6 +207,9 @@
 	if at.After(h.lastBegun) {
 		h.lastBegun = at
 	}
+	if t.recent.parts[part] {
+		t.recent = recentSuspects{}
+	}
 	if q := t.quarantines[part]; q != nil && at.After(q.since) {
 		delete(t.quarantines, part)
 		t.released[part] = t.now()
@@ -179,7 +217,8 @@
 	}
 }
 
-// Crashed records that an engine crashed while it held the request, whose answer had not begun.
+// Crashed records that an engine crashed while it held the request, whose answer had not begun there. It may be called after
+// Done.
 func (p *Prompt) Crashed(engine targetset.Incarnation) {
 	if p == nil {
 		return
@@ -187,12 +226,8 @@
 	t := p.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p.lost = true
 	t.addCrash(engine, p.service, p.parts, t.now())
-	for _, part := range p.tests {
-		if q := t.quarantines[part]; q != nil && q.testing == p {
-			t.impose(part, min(maxQuarantine, 2*q.duration))
-		}
-	}
 }
 
 // Suspected reports whether a part of the request is a suspect or quarantined. The gateway must not retry such a request.
@@ -207,7 +242,8 @@
 	return slices.ContainsFunc(p.parts, func(part Part) bool { return suspects[part] || t.quarantines[part] != nil })
 }
 
-// Done ends the tracking of the request.
+// Done ends the tracking of the request. A test whose answer was lost before it began has failed: the engine may have
+// crashed unnoticed.
 func (p *Prompt) Done() {
 	if p == nil || len(p.tests) == 0 {
 		return
@@ -219,21 +255,27 @@
 		if q := t.quarantines[part]; q != nil && q.testing == p {
 			q.testing = nil
 			q.testAfter = t.now().Add(q.duration / testPauseShare)
+			if p.lost {
+				t.impose(part, min(maxQuarantine, quarantineGrowth*q.duration))
+			}
 		}
 	}
 }
 
-// decide quarantines the parts that explain the settled crashes, and releases those that others explain better. The
+// decide quarantines the parts that explain the settled crashes, for a short time those that may, and releases those that others explain better. The
 // caller holds the lock.
 func (t *Tracker) decide() {
-	for {
-		suspects, conclusive := t.suspects(false)
-		if !conclusive {
-			break
-		}
+	suspects, conclusive := t.suspects(false)
+	for conclusive {
 		for part := range suspects {
 			t.impose(part, firstQuarantine)
 		}
+		suspects, conclusive = t.suspects(false)
+	}
+	for _, part := range t.shortSuspects(suspects) {
+		if t.quarantines[part] == nil {
+			t.impose(part, shortQuarantine)
+		}
 	}
 	for part := range t.quarantines {
 		if t.explainedBetter(part) {
@@ -252,11 +294,11 @@
 }
 
 // newQuarantine returns a quarantine. Its origin tests the part at its end; the other entries do so only if the origin has
-// not for as long again, since it may have ended.
+// not for otherTestDelay, since it may have ended.
 func (t *Tracker) newQuarantine(since, until time.Time, d time.Duration, origin uint32) *quarantine {
 	q := &quarantine{since: since, until: until, duration: d, origin: origin, testAfter: until}
 	if origin != t.id {
-		q.testAfter = until.Add(d + time.Duration(testSpread*rand.Float64()*float64(d)))
+		q.testAfter = until.Add(time.Duration((1 + rand.Float64()) * otherTestDelay * float64(d)))
 	}
 	return q
 }
@@ -291,14 +333,3 @@
 	defer t.mu.Unlock()
 	return len(t.quarantines)
 }
-
-// Answers returns the number of requests whose answers have begun.
-func (t *Tracker) Answers() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, s := range t.services {
-		n += s.answers
-	}
-	return n
-}
