quarantine: put off the tests of other entries further

Entries other than the origin test a part after twenty times its quarantine, spread over as long again, instead of ten times.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -34,7 +34,7 @@
 	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries test a part that its
 	// origin has not tested. They spread their tests over as long again, so that one of them learns the result before the
 	// others send theirs.
-	otherTestDelay = 10
+	otherTestDelay = 20
 	// testPauseShare is the share of a quarantine, as a divisor, after which a test that reached no engine is repeated, and
 	// testTime the time after which a caller that is refused during a test may return.
 	testPauseShare = 10
