--- a/internal/quarantine/day_test.go
+++ b/internal/quarantine/day_test.go
@@ -21,7 +21,8 @@
 	clock   *clock
 	entries []*Tracker
 	reached int
-	latest  time.Time // at which a request reached an engine
+	latest  time.Time   // at which a request reached an engine
+	crashes []time.Time // one for each request that reached an engine
 }
 
 func newDay(seed uint64, entries int) *day {
@@ -44,6 +45,7 @@
 	}
 	d.reached++
 	d.latest = d.clock.now()
+	d.crashes = append(d.crashes, d.latest)
 	p.Crashed(engine(d.reached))
 }
 
@@ -71,6 +73,53 @@
 	}
 }
 
+// dayStopTime is the time after the fifth crash after which few requests with the part may reach engines.
+const dayStopTime = 3 * time.Second
+
+// late returns the number of requests that reached engines later than dayStopTime after the fifth crash.
+func (d *day) late() int {
+	n := 0
+	for _, at := range d.crashes {
+		if len(d.crashes) >= 5 && at.Sub(d.crashes[4]) > dayStopTime {
+			n++
+		}
+	}
+	return n
+}
+
+// loseOrigin restarts the entry that imposed the quarantine.
+func (d *day) loseOrigin() {
+	origin := d.entries[0].quarantines["bad"].origin
+	for i, e := range d.entries {
+		if e.id == origin {
+			d.entries[i] = New(d.clock.now)
+		}
+	}
+}
+
+// TestRequestsAfterTheFifthCrash guards against tests of a quarantined part that crash more engines than may be lost to it,
+// over a long day, without the entry that imposed the quarantine, and on both sides of a cut between entries.
+func TestRequestsAfterTheFifthCrash(t *testing.T) {
+	plays := map[string]func(d *day){
+		"a long day":         func(d *day) { d.run(24*time.Hour, d.entries) },
+		"without the origin": func(d *day) { d.loseOrigin(); d.run(6*time.Hour, d.entries) },
+		"a cut": func(d *day) {
+			d.run(30*time.Minute, d.entries[:4], d.entries[4:])
+			d.run(6*time.Hour, d.entries)
+		},
+	}
+	for name, play := range plays {
+		for seed := range uint64(3) {
+			d := newDay(seed, 9)
+			d.run(busyTime, d.entries)
+			play(d)
+			if late := d.late(); late > lateRequests {
+				t.Errorf("%s, seed %d: %d of %d requests reached engines late, want at most %d", name, seed, late, d.reached, lateRequests)
+			}
+		}
+	}
+}
+
 // TestTestsOfALongDay guards against tests of a quarantined part that crash engines again and again over a long day.
 func TestTestsOfALongDay(t *testing.T) {
 	for _, entries := range []int{1, 4, 12} {
@@ -93,12 +142,7 @@
 		for seed := range uint64(2) {
 			d := newDay(seed, entries)
 			d.run(busyTime, d.entries)
-			origin := d.entries[0].quarantines["bad"].origin
-			for i, e := range d.entries {
-				if e.id == origin {
-					d.entries[i] = New(d.clock.now)
-				}
-			}
+			d.loseOrigin()
 			before := d.reached
 			d.run(time.Hour, d.entries)
 			if d.reached-before > lateRequests {
