--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,8 +5,8 @@
 // with a certain part. A Tracker records which parts the requests had that an engine held when it crashed before their
 // answers had begun, and which parts have been in requests whose answers did begin. Entries exchange this evidence. A
 // part that explains several crashes and has not been in an answer since is quarantined: requests with it are refused
-// for some time, after which each entry lets a single one at a time through to test whether engines still crash. While a
-// crash is recent and evidence may still arrive, requests with a suspected part are held off.
+// for some time, after which the entry that imposed the quarantine lets a single one through to test whether engines still
+// crash. While a crash is recent and evidence may still arrive, requests with a suspected part are held off.
 package quarantine
 
 import (
@@ -25,12 +25,12 @@
 	// firstQuarantine is the first time for which a part is quarantined. Each test that fails multiplies it by
 	// quarantineGrowth, up to maxQuarantine. Each of these tests crashes an engine, so that there must be few in a day:
 	// they begin after 1 min, 21 min and 7 h.
-	// shortQuarantine is the time for a part that may have crashed engines without enough evidence. It outlasts the time in
-	// which all entries learn of the quarantine, and agree on the one that tests the part.
 	firstQuarantine  = time.Minute
-	shortQuarantine  = 4 * time.Second
 	quarantineGrowth = 20
 	maxQuarantine    = 24 * time.Hour
+	// shortQuarantine is the first time for a part that may have crashed engines without enough evidence. It outlasts the
+	// time in which all entries learn of the quarantine, and agree on the one that tests the part.
+	shortQuarantine = 4 * time.Second
 	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries test a part that its
 	// origin has not tested. They spread their tests over as long again, so that one of them learns the result before the
 	// others send theirs.
@@ -86,8 +86,8 @@
 	tests   []Part // quarantined parts that the request tests
 }
 
-// Prompt returns the prompt of a request to a service with the shared parts, or nil if there are none. Done must be called when the
-// request has ended. A nil tracker tracks nothing.
+// Prompt returns the prompt of a request to a service with the shared parts, or nil if there are none. Done must be called
+// when the request has ended. A nil tracker tracks nothing.
 func (t *Tracker) Prompt(service string, parts []Part) *Prompt {
 	if t == nil || len(parts) == 0 {
 		return nil
@@ -262,8 +262,8 @@
 	}
 }
 
-// decide quarantines the parts that explain the settled crashes, for a short time those that may, and releases those that others explain better. The
-// caller holds the lock.
+// decide quarantines the parts that explain the settled crashes, for a short time also those that may, and releases those
+// that others explain better. The caller holds the lock.
 func (t *Tracker) decide() {
 	suspects, conclusive := t.suspects(false)
 	for conclusive {
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -146,7 +146,8 @@
 	})
 }
 
-// TestChecksOfDrainAndConfig guards against checks that miss requests to leaving and quiet targets, planned restarts, configurations, retries and late answers.
+// TestChecksOfDrainAndConfig guards against checks that miss requests to leaving and quiet targets, answers that a planned
+// restart has cut off, configurations that are not in use, too many retries, and late answers.
 func TestChecksOfDrainAndConfig(t *testing.T) {
 	testChecks(t, []violation{
 		{"request after the drain bound", safeRoute, func(l *recorder, _ *clientRequest, r *targetRequest) { l.leaveBeganAt["i-1"], r.At = at(0), at(2100) }, "began to leave"},
