gateway: one set-up of a limited server in the tests

TestReadyAnswerIsDeliveredLate and TestStopBreaksOffHTTP10 repeated what limitedServer does, since they need a listener or the server of their own. serveLimited takes the listener and returns the server, and limitedServer uses it. No check changes.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -15,16 +15,28 @@
 	"github.com/camphorbank/camphorbank/test/standin/target"
 )
 
+// listen opens a listener on loopback.
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // limitedServer starts a server for the fixture's gateway with the limits, and returns its address.
 func limitedServer(t *testing.T, f *fixture, l routetable.Limits) string {
+	inner := listen(t)
+	serveLimited(t, f, inner, l)
+	return inner.Addr().String()
+}
+
+// serveLimited starts a server for the fixture's gateway with the limits on a listener.
+func serveLimited(t *testing.T, f *fixture, inner net.Listener, l routetable.Limits) *http.Server {
 	config := testConfig()
 	config.Version++
 	config.Limits = l
 	f.gateway.Tables.Offer(config)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	server := gateway.NewServer(f.gateway)
 	done := make(chan struct{})
 	go func() {
@@ -35,7 +47,7 @@
 		_ = server.Close()
 		<-done
 	})
-	return inner.Addr().String()
+	return server
 }
 
 const validHead = "POST /unsafe/x HTTP/1.1\r\nHost: test.example\r\n" + target.HeaderID + ": req-1\r\nAuthorization: Bearer k1\r\n"
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/test/standin/target"
 )
@@ -194,20 +193,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, c.b, c.b)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			server := gateway.NewServer(f.gateway)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				_ = server.Serve(gateway.Listener(l, func() routetable.Limits { return routetable.Limits{} }))
-			}()
-			defer func() {
-				_ = server.Close()
-				<-done
-			}()
+			l := listen(t)
+			server := serveLimited(t, f, l, routetable.Limits{})
 			conn := callOnConn(t, l.Addr().String(), c.path, "HTTP/1.0")
 			r := bufio.NewReader(conn)
 			if _, err := r.Peek(1); err != nil {
@@ -236,20 +223,8 @@
 		return target.Answer(200, body)(c, a)
 	}
 	f := newFixture(t, b, b)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := gateway.NewServer(f.gateway)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(gateway.Listener(smallBuffers{l}, func() routetable.Limits { return routetable.Limits{} }))
-	}()
-	defer func() {
-		_ = server.Close()
-		<-done
-	}()
+	l := listen(t)
+	serveLimited(t, f, smallBuffers{l}, routetable.Limits{})
 	conn, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
