gateway: TestExtraAnswerIsDropped waits until the surplus answer has arrived

The case "later" failed with the body "no". The stand-in slept 30 ms before its surplus answer and the test 60 ms before the next request. If both sleeps end together, as they do when the process is stopped in between, the surplus answer is sent when the next request is already on the connection. All requests of the test have the same id, so that nothing tells the two answers apart; TestLateCopyOnConnectionInUse covers that order with ids that differ.

The test now sends the surplus answer itself once the connection is idle, and makes the next request when its bytes are on the gateway's connection. The second target no longer answers, and each request must reach the first one.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,24 +233,69 @@
 // request.
 func TestExtraAnswerIsDropped(t *testing.T) {
 	one := "HTTP/1.1 200 OK\r\n" + target.HeaderID + ": ID\r\n" + target.HeaderStamp + ": s\r\nContent-Length: 2\r\n\r\n"
-	late := func(c net.Conn, a target.Arrival) bool {
-		target.Raw(one+"ok", true)(c, a)
-		time.Sleep(30 * time.Millisecond)
-		return target.Raw(one+"no", true)(c, a)
-	}
-	for name, b := range map[string]target.Behaviour{"at once": target.Raw(one+"ok"+one+"no", true), "later": late} {
+	for name, b := range map[string]target.Behaviour{
+		"at once": target.Raw(one+"ok"+one+"no", true), "later": target.Raw(one+"ok", true),
+	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, b, b)
-			for range 4 {
+			conns := make(chan net.Conn, 4) // of the target, after it has answered
+			f := newFixture(t, func(c net.Conn, a target.Arrival) bool {
+				open := b(c, a)
+				conns <- c
+				return open
+			}, target.Reset())
+			dialled := f.recordDials()
+			for n := range 4 {
 				if a := f.do("GET", "/safe/x", ""); a.body != "ok" {
 					t.Errorf("%+v", a)
 				}
-				time.Sleep(60 * time.Millisecond)
+				c := <-conns
+				if name != "later" {
+					continue
+				}
+				// All requests have the same id, so that only the time shows to which one an answer belongs. The connection
+				// is idle until the surplus answer has arrived.
+				if !awaitCondition(func() bool { return f.gateway.Pool.Idle(f.first.Addr) }, time.Second) {
+					t.Fatal("the connection is not kept")
+				}
+				target.Raw(one+"no", true)(c, target.Arrival{Header: http.Header{target.HeaderID: {"req-1"}}})
+				if !awaitCondition(func() bool { return hasUnread(t, dialled()) }, time.Second) {
+					t.Fatal("the surplus answer has not arrived")
+				}
+				if got := len(f.first.Arrivals()); got != n+1 {
+					t.Errorf("%d requests reached the target, want %d", got, n+1)
+				}
 			}
 		})
 	}
 }
 
+// recordDials returns a function that returns the gateway's last connection to a target.
+func (f *fixture) recordDials() func() net.Conn {
+	var last atomic.Pointer[net.Conn]
+	dial := f.gateway.Pool.Dial
+	f.gateway.Pool.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		last.Store(&c)
+		return c, err
+	}
+	return func() net.Conn { return *last.Load() }
+}
+
+// hasUnread reports whether bytes have arrived on an open connection that have not been read.
+func hasUnread(t *testing.T, c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return n > 0
+}
+
 // TestStreamResumesAtAnotherTarget guards against events that are lost, duplicated or truncated when a target's stream
 // ends in the middle of an event.
 func TestStreamResumesAtAnotherTarget(t *testing.T) {
