gateway: TestEndlessBytes knows whether the gateway could begin an answer

The case "chunks" failed with status 504 where a cut answer was wanted. The gateway begins a large answer when it has read 256 KiB of it, which in chunks of one byte are 1.5 MB. In five runs beside 24 busy processes its record had no first byte when the limit of 1.5 s passed, and ended with 504 after 1.51 to 1.57 s. That is the right answer, as TestTrickleEnds demands: the test took a fast machine for granted.

The test now counts the bytes that the gateway has read from the target.

--- a/internal/gateway/timing_test.go
+++ b/internal/gateway/timing_test.go
@@ -1,6 +1,10 @@
 package gateway_test
 
-import "time"
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// finalAnswerGrace is the time after the time limit of a request within which its caller must have the final answer.
@@ -39,3 +43,15 @@
 	}
 	return condition()
 }
+
+// countedConn counts the bytes that were read from a connection.
+type countedConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
