--- a/review/1/main.go
+++ b/review/1/main.go
@@ -220,14 +220,11 @@
 }
 
 // report returns the state of a rank as it reports it: at once to the process on its own machine, and as of reportLag ago
-// to other machines. Others read the engine only while its own process does not run.
-func (e *engines) report(r int) expertgroup.Status {
-	if p := e.procs[r]; p != nil && p.Running() {
-		return e.group.Ranks[r].Status()
-	}
+// to other machines.
+func (e *engines) report(ctx context.Context, r int) expertgroup.Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.samples) == 0 {
+	if stand.FromOwnMachine(ctx) || len(e.samples) == 0 {
 		return e.group.Ranks[r].Status()
 	}
 	return e.samples[0].status[r]
@@ -240,16 +237,17 @@
 		return "", err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, _ *http.Request) { e.serveReport(w, r) })
+	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, req *http.Request) { e.serveReport(w, req, r) })
 	mux.HandleFunc("GET /-/picked", e.group.Ranks[r].ServeHTTP)
 	mux.HandleFunc("POST /-/order", func(w http.ResponseWriter, req *http.Request) { e.serveOrder(w, req, r) })
 	mux.HandleFunc("/", e.serveStream)
-	go func() { _ = http.Serve(l, mux) }()
+	server := &http.Server{Handler: mux, ConnContext: stand.MarkOwner(func() *stand.Process { return e.procs[r] })}
+	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), nil
 }
 
-func (e *engines) serveReport(w http.ResponseWriter, r int) {
-	s := e.report(r)
+func (e *engines) serveReport(w http.ResponseWriter, req *http.Request, r int) {
+	s := e.report(req.Context(), r)
 	state := "broken"
 	if s.Open {
 		state = "open"
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -163,7 +163,7 @@
 }
 
 // settings returns the settings file of a machine. app is the address of its runner; empty for a front machine.
-func (s *System) settings(n int, app, storeAddr string) string {
+func (s *System) settings(n int, app, storeAddr string, first bool) string {
 	role, serves, listen := "entry", `"front", "control"`, fmt.Sprintf("frontend = %q\nready = %q\ncontrol_plane = %q\n", s.Frontend(n), s.ready(n), s.control(n))
 	memory, share := MemoryMB, 0.304
 	if app != "" {
@@ -178,7 +178,7 @@
 region = "ch-mitte"
 internal_ports = [%d, %d]
 seeds = [%s]
-bootstrap = true
+bootstrap = %t
 loss_counts = false
 discovery = "platform"
 entry_mode = "vip"
@@ -229,7 +229,7 @@
 history_s = 20
 value_bytes = 1048576
 min_ttl_ms = 1000
-`, n, role, map[string]string{"entry": "front", "rank": "side"}[role], serves, s.IP(n), s.port+3, s.port+3, quoted(s.seeds), app, listen, share, memory,
+`, n, role, map[string]string{"entry": "front", "rank": "side"}[role], serves, s.IP(n), s.port+3, s.port+3, quoted(s.seeds), first, app, listen, share, memory,
 		StableWindow.Milliseconds(), Drain.Milliseconds(), Grace.Seconds(), ConfigApply.Milliseconds(), storeAddr)
 }
 
@@ -247,9 +247,10 @@
 	system *System
 	file   string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	restart string // settings for all starts after the first
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
 }
 
 // StartEntry starts the entry on machine n. It reads the store at storeAddr; empty stands for the store itself.
@@ -257,23 +258,27 @@
 	if storeAddr == "" {
 		storeAddr = s.Store.Addr()
 	}
-	return s.startProcess(n, s.settings(n, "", storeAddr))
+	return s.startProcess(n, "", storeAddr)
 }
 
 // StartRank starts the process beside a runner on machine n.
 func (s *System) StartRank(n int, app string) (*Process, error) {
-	return s.startProcess(n, s.settings(n, app, s.Store.Addr()))
+	return s.startProcess(n, app, s.Store.Addr())
 }
 
-func (s *System) startProcess(n int, settings string) (*Process, error) {
-	p := &Process{Name: fmt.Sprintf("m-%d", n), system: s, file: filepath.Join(s.Dir, fmt.Sprintf("m-%d.toml", n))}
-	if err := os.WriteFile(p.file, []byte(settings), 0o600); err != nil {
+func (s *System) startProcess(n int, app, storeAddr string) (*Process, error) {
+	name := fmt.Sprintf("m-%d", n)
+	p := &Process{Name: name, system: s, file: filepath.Join(s.Dir, name+".toml"), restart: s.settings(n, app, storeAddr, false)}
+	if err := os.WriteFile(p.file, []byte(s.settings(n, app, storeAddr, true)), 0o600); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	s.procs = append(s.procs, p)
 	s.mu.Unlock()
-	return p, p.Start()
+	if err := p.Start(); err != nil {
+		return nil, err
+	}
+	return p, nil
 }
 
 // Start starts the process, also again after its end, with the command of the deploy file.
@@ -285,6 +290,11 @@
 		return err
 	}
 	defer log.Close()
+	if p.cmd != nil {
+		if err := os.WriteFile(p.file, []byte(p.restart), 0o600); err != nil {
+			return err
+		}
+	}
 	p.cmd = exec.Command(program, "-platform", "-metrics-port", metricsPort)
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", settingsVariable + "=" + p.file}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
