rankgroup: a new term waits for reports of engines that are not older than the term

Cause: when the process beside a rank does not answer, the coordinator reads the rank's engine from another VM. After raising the fencing numbers the coordinator took it for the present state. A rank that had been armed within that time was not disarmed before the hold was released.

Change: a reading says whether the engine was read from another VM, also through relays. A new term reads again until such reports are of a time after every rank has accepted the new fencing number. No earlier order can be carried out from then on, so the state that is read is the present one.

The line group event=reports-lagged names the rank and the wait.

--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -194,6 +194,9 @@
 		if e.Step > 0 {
 			f["step"] = e.Step
 		}
+		if e.Kind == rankgroup.EventReportsLagged {
+			f["rank"], f["wait"] = e.Rank, e.Took
+		}
 		if e.Err != nil {
 			f["error"] = e.Err.Error()
 		}
--- a/internal/node/ranklink.go
+++ b/internal/node/ranklink.go
@@ -63,7 +63,7 @@
 	r.markAgent(other.Control, false)
 	// The status is needed to end a hold. The counts of expert choices are not worth the cost of a direct call.
 	s, err := r.adapters.Engine(other.Engine).Status(ctx)
-	return rankgroup.ReadReply{Status: s}, err
+	return rankgroup.ReadReply{Status: s, Lagged: true}, err
 }
 
 // markAgent records whether another rank's process has answered a reading.
--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -55,6 +55,8 @@
 	// Since holds the encoded growth of the counts since the snapshot that the request names. It is empty if the agent
 	// no longer has that snapshot.
 	Since []byte `json:"d,omitempty"`
+	// Lagged says that the engine was read from another VM. Its status is then as old as the report lag of the engines.
+	Lagged bool `json:"l,omitempty"`
 }
 
 // Read reads the engine and takes a snapshot of its counts.
--- a/internal/rankgroup/branch.go
+++ b/internal/rankgroup/branch.go
@@ -104,7 +104,7 @@
 	for k, rank := range b.ranks {
 		r := reply.Ranks[k]
 		c.answered[rank] = r.Answered
-		out.replies[rank] = ReadReply{Status: r.Status, Number: r.Number}
+		out.replies[rank] = ReadReply{Status: r.Status, Number: r.Number, Lagged: r.Lagged}
 		if r.Malformed != "" {
 			out.malformed[rank] = errors.New(r.Malformed)
 		}
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -54,6 +54,7 @@
 	EventSwitched      EventKind = "switched" // all ranks have confirmed a map for one step
 	EventSwitchFailed  EventKind = "switch-failed"
 	EventRecoverFailed EventKind = "recover-failed" // a rank did not accept the new term
+	EventReportsLagged EventKind = "reports-lagged" // the ranks are read again, since reports were older than the term
 	EventDisarmFailed  EventKind = "disarm-failed"  // an armed map could not be cancelled, and the group stays held
 	EventReleased      EventKind = "released"       // the release of a leftover hold was ordered
 )
@@ -107,6 +108,7 @@
 	snapshots  []int64  // number of the last snapshot of the counts, by rank
 	status     []Status // by rank, as read last
 	answered   []bool   // by rank, in the last reading
+	lagged     []bool   // by rank: the status may be as old as the report lag of the engines
 	estimate   *popularity
 	engine     *routetable.Engine
 	update     *MapUpdate // map of the order that is being sent; nil for orders without one
@@ -120,7 +122,7 @@
 // NewCoordinator returns a coordinator. It knows nothing about the group until Run has read it.
 func NewCoordinator(opt Options) *Coordinator {
 	c := &Coordinator{opt: opt, snapshots: make([]int64, opt.Size), status: make([]Status, opt.Size), answered: make([]bool, opt.Size),
-		orders: make([]int64, opt.Size), needsNewTerm: true, epoch: -1, agentsMap: completeMap}
+		lagged: make([]bool, opt.Size), orders: make([]int64, opt.Size), needsNewTerm: true, epoch: -1, agentsMap: completeMap}
 	c.divideRanks()
 	return c
 }
@@ -197,6 +199,7 @@
 // applyReading stores a reading and updates what is derived from it.
 func (c *Coordinator) applyReading(r reading, now time.Time, statusOnly bool) {
 	for rank, reply := range r.replies {
+		c.lagged[rank] = c.answered[rank] && reply.Lagged
 		if !c.answered[rank] {
 			c.status[rank] = Status{}
 			continue
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -19,6 +19,7 @@
 	size     testSize
 	g        *expertgroup.Group
 	agents   []*Agent
+	history  *statusHistory
 	links    []*testLink // by rank; nil for links without a limit
 	unfenced bool        // coordinators know that the engines ignore fencing numbers
 	switched atomic.Int64
@@ -28,7 +29,7 @@
 func newTestFleet(t *testing.T, seed uint64, size testSize) *testFleet {
 	g := expertgroup.New(rand.New(rand.NewPCG(seed, 1)), size.shape)
 	g.Trace = func(string, ...any) {}
-	f := &testFleet{t: t, size: size, g: g, agents: newAgents(g)}
+	f := &testFleet{t: t, size: size, g: g, agents: newAgents(g), history: &statusHistory{g: g, lag: size.reportLag}}
 	if size.bytesPerSecond > 0 {
 		for range g.Ranks {
 			f.links = append(f.links, &testLink{bytesPerSecond: size.bytesPerSecond})
@@ -42,7 +43,7 @@
 func (f *testFleet) coordinate(ctx context.Context, rank int, active func() bool, unreachable func(int) bool) {
 	engine := f.size.engine()
 	c := NewCoordinator(Options{
-		Rank: rank, Size: len(f.g.Ranks), Ranks: newTestLinks(f.g, f.agents, f.links, rank, unreachable), DataCentre: testDataCentre, Now: testNow, Active: active,
+		Rank: rank, Size: len(f.g.Ranks), Ranks: newTestLinks(f, rank, unreachable), DataCentre: testDataCentre, Now: testNow, Active: active,
 		Unfenced: f.unfenced,
 		Engine:   func() *routetable.Engine { return engine }, SendReport: func(Report) {},
 		Notify: func(e Event) {
@@ -204,6 +205,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), span)
 	defer cancel()
 	go f.g.Run(ctx)
+	go f.history.run(ctx)
 	go f.injectFaults(ctx, rand.New(rand.NewPCG(seed, 3)))
 	for ctx.Err() == nil {
 		life := time.Duration(300+rng.IntN(6000)) * time.Millisecond
--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -16,6 +16,8 @@
 	shape          expertgroup.Shape
 	slotsPerRank   int
 	bytesPerSecond int // of the link of each VM; 0 for no limit
+	// reportLag is the age of the status that an engine reports to a process on another VM.
+	reportLag time.Duration
 }
 
 // smallSize is the size of a small group of engines in use, largeSize that of a large one.
@@ -35,7 +37,7 @@
 // engine returns the properties of the engines of the group.
 func (s testSize) engine() *routetable.Engine {
 	const linkBandwidth = 100e9 // bits per second
-	return &routetable.Engine{Experts: routetable.Experts{
+	return &routetable.Engine{ReportLag: s.reportLag, Experts: routetable.Experts{
 		Layers: s.shape.Layers, Count: s.shape.Experts, SlotsPerRank: s.slotsPerRank, NewPerLayer: 2,
 		ExpertBytes: linkBandwidth / 8 * expertLoadTime.Seconds(), LinkBandwidth: linkBandwidth,
 	}}
@@ -48,9 +50,14 @@
 	if err := r.Wait(ctx); err != nil {
 		return Status{}, err
 	}
+	return r.present(), nil
+}
+
+// present returns the status of the rank at this moment.
+func (r testRank) present() Status {
 	s := r.Rank.Status()
 	return Status{Group: "g", Epoch: s.Epoch, Rank: s.Index, Size: len(r.Siblings()), Open: s.Open, StartedAtMs: 1, Step: s.Step, Map: s.Map,
-		Prepared: s.Prepared, Armed: s.Armed, Held: s.Held, Sequence: s.Orders, Active: 5, Pace: 1}, nil
+		Prepared: s.Prepared, Armed: s.Armed, Held: s.Held, Sequence: s.Orders, Active: 5, Pace: 1}
 }
 
 func (r testRank) Counts(ctx context.Context) (Counts, error) {
@@ -84,10 +91,56 @@
 	return err
 }
 
+// statusSampleInterval is the time between two samples of the status of all ranks. An engine's report may be that much
+// older or newer than the report lag.
+const statusSampleInterval = 5 * time.Millisecond
+
+// statusHistory holds what the engines report to processes on other VMs.
+type statusHistory struct {
+	g   *expertgroup.Group
+	lag time.Duration
+
+	mu      sync.Mutex
+	samples [][]Status // by time, then by rank
+}
+
+// run samples the status of all ranks until ctx ends.
+func (h *statusHistory) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := make([]Status, len(h.g.Ranks))
+		for rank, r := range h.g.Ranks {
+			now[rank] = testRank{r}.present()
+		}
+		h.mu.Lock()
+		h.samples = append(h.samples, now)
+		h.samples = h.samples[max(0, len(h.samples)-int(h.lag/statusSampleInterval)-1):]
+		h.mu.Unlock()
+		time.Sleep(statusSampleInterval)
+	}
+}
+
+// status returns the status that a rank reports to another VM.
+func (h *statusHistory) status(ctx context.Context, rank int) (Status, error) {
+	r := testRank{h.g.Ranks[rank]}
+	if h.lag == 0 {
+		return r.Status(ctx)
+	}
+	if err := r.Wait(ctx); err != nil {
+		return Status{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.samples) == 0 {
+		return r.present(), nil
+	}
+	return h.samples[0][rank], nil
+}
+
 // testLinks implements Ranks for the process beside the rank self, through the agents of the group.
 type testLinks struct {
-	g      *expertgroup.Group
-	agents []*Agent
+	g       *expertgroup.Group
+	agents  []*Agent
+	history *statusHistory
 	// unreachable reports whether the agent of another rank cannot be reached. Its engine is then accessed directly.
 	unreachable  func(rank int) bool
 	self         int
@@ -132,8 +185,8 @@
 
 func (l *testLinks) Read(ctx context.Context, rank int, r ReadRequest) (ReadReply, error) {
 	if rank != l.self && l.unreachable(rank) {
-		s, err := testRank{l.g.Ranks[rank]}.Status(ctx)
-		return ReadReply{Status: s}, err
+		s, err := l.history.status(ctx, rank)
+		return ReadReply{Status: s, Lagged: true}, err
 	}
 	l.transfer(l.self, rank, r)
 	reply, err := l.agents[rank].Read(ctx, r)
@@ -180,9 +233,9 @@
 	return Relay{Ranks: &links, Knows: func(int) bool { return true }}
 }
 
-func newTestLinks(g *expertgroup.Group, agents []*Agent, links []*testLink, self int, unreachable func(int) bool) *testLinks {
-	l := &testLinks{g: g, agents: agents, links: links, self: self, unreachable: unreachable}
-	for _, r := range g.Ranks {
+func newTestLinks(f *testFleet, self int, unreachable func(int) bool) *testLinks {
+	l := &testLinks{g: f.g, agents: f.agents, history: f.history, links: f.links, self: self, unreachable: unreachable}
+	for _, r := range f.g.Ranks {
 		l.directAgents = append(l.directAgents, NewAgent(testRank{r}, 0))
 	}
 	return l
--- /dev/null
+++ b/internal/rankgroup/lag_test.go
@@ -0,0 +1,73 @@
+package rankgroup
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// laggedSize is a group of engines whose reports to other VMs are old.
+func laggedSize(size testSize, lag time.Duration) testSize {
+	size.reportLag = lag
+	return size
+}
+
+// TestNoStepWithTwoMapsFromOldReports guards against a coordinator that takes the report of an engine whose agent is down
+// for the engine's present state. The report is as old as the report lag, so that an engine that has just been armed does
+// not seem to be, and is not disarmed before the hold is released.
+func TestNoStepWithTwoMapsFromOldReports(t *testing.T) {
+	for name, size := range map[string]testSize{
+		"lag of 100 ms": laggedSize(smallSize, 100*time.Millisecond),
+		"lag of 200 ms": laggedSize(smallSize, 200*time.Millisecond),
+		"lag of 900 ms": laggedSize(smallSize, 900*time.Millisecond),
+		"with relays":   laggedSize(relayedSize, 200*time.Millisecond),
+	} {
+		for engines, unfenced := range map[string]bool{"": false, ", unfenced": true} {
+			t.Run(name+engines, func(t *testing.T) { checkNoStepWithOldReports(t, size, unfenced) })
+		}
+	}
+}
+
+// checkNoStepWithOldReports runs coordinators, one after the other, that reach only some of the agents.
+func checkNoStepWithOldReports(t *testing.T, size testSize, unfenced bool) {
+	seeds := uint64(20)
+	if testing.Short() || size.shape.Ranks > smallSize.shape.Ranks {
+		seeds = 4
+	}
+	switched := int64(0)
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, seed, size)
+			f.g.Late, f.g.Unfenced, f.unfenced = 0.5, unfenced, unfenced
+			f.runWithAgentsDown(seed, 40*time.Second)
+			f.checkNoMixedStep(seed)
+			switched += f.switched.Load()
+		})
+	}
+	if switched < int64(seeds) {
+		t.Errorf("%d switches in %d runs: too few to test the switch", switched, seeds)
+	}
+}
+
+// runWithAgentsDown runs one coordinator after the other for random times. The agents of about half of the ranks are down,
+// other ones for each coordinator.
+func (f *testFleet) runWithAgentsDown(seed uint64, span time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 6))
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	go f.g.Run(ctx)
+	go f.history.run(ctx)
+	go f.injectFaults(ctx, rand.New(rand.NewPCG(seed, 3)))
+	for ctx.Err() == nil {
+		life, stop := context.WithTimeout(ctx, time.Duration(1000+rng.IntN(8000))*time.Millisecond)
+		down := make([]bool, len(f.g.Ranks))
+		for rank := range down {
+			down[rank] = rng.IntN(2) == 0
+		}
+		f.coordinate(life, rng.IntN(2), always, func(rank int) bool { return down[rank] })
+		stop()
+	}
+	time.Sleep(15 * time.Second) // until all late orders have been carried out
+}
--- a/internal/rankgroup/large_test.go
+++ b/internal/rankgroup/large_test.go
@@ -67,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 1, relayedSize)
 		var unreachable sync.Map
-		links := newTestLinks(f.g, f.agents, nil, 0, func(rank int) bool { _, ok := unreachable.Load(rank); return ok })
+		links := newTestLinks(f, 0, func(rank int) bool { _, ok := unreachable.Load(rank); return ok })
 		c := NewCoordinator(Options{Rank: 0, Size: len(f.g.Ranks), Ranks: links, DataCentre: testDataCentre, Now: testNow, Active: always,
 			Engine: f.size.engine, SendReport: func(Report) {}, Notify: func(Event) {}})
 		for _, b := range c.branches {
--- a/internal/rankgroup/relay.go
+++ b/internal/rankgroup/relay.go
@@ -30,6 +30,7 @@
 	Answered  bool   `json:"a,omitempty"`
 	Status    Status `json:"s"`
 	Number    int64  `json:"n,omitempty"` // number of the snapshot that was taken
+	Lagged    bool   `json:"l,omitempty"` // see ReadReply.Lagged
 	Malformed string `json:"e,omitempty"` // why the growth of the counts could not be decoded; empty if it could
 }
 
@@ -78,7 +79,7 @@
 	forEach(len(r.Ranks), func(i int) {
 		reply, err := y.Ranks.Read(ctx, r.Ranks[i], ReadRequest{Coordinator: r.Coordinator, HaveSnapshot: r.snapshot(i),
 			StatusOnly: r.StatusOnly, Layers: r.Layers})
-		out.Ranks[i] = BranchRank{Answered: err == nil, Status: reply.Status.essential(), Number: reply.Number}
+		out.Ranks[i] = BranchRank{Answered: err == nil, Status: reply.Status.essential(), Number: reply.Number, Lagged: reply.Lagged}
 		replies[i] = reply
 	})
 	var sum []float64
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -94,8 +94,9 @@
 		c.raiseTerm(results)
 		return false
 	}
+	termKnown := c.opt.Now()
 	c.divideRanks()
-	if !c.readAll(ctx) {
+	if !c.readSince(ctx, termKnown) {
 		return false
 	}
 	if c.opt.Unfenced {
