upstream: an answer on a connection that failed while the request was sent has no known end

Cause: a target answered before it had read a long request, without a length, and reset the connection. Linux reports the error of a socket once. The write of the request had got it, so the read of the answer saw an end in order, and an answer that ends with its connection counted as complete.

Change: after a failed write, the body of such an answer ends with the error of the write instead of an end of file.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -121,11 +121,30 @@
 			return nil, err
 		}
 		resp.http.Close = true
+		if resp.Framing == FramingConnection {
+			resp.Body = &unconfirmedBody{from: resp.Body, writeErr: err}
+		}
 		return resp, nil
 	}
 	return p.readResponse(c, r.Method)
 }
 
+// unconfirmedBody is the body of an answer that ends with its connection, on a connection to which a write has failed. The
+// kernel reports the failure of a connection once, so that after the write the failed connection reads as if it had been
+// closed in order. Its end therefore does not show that the body is complete.
+type unconfirmedBody struct {
+	from     io.Reader
+	writeErr error
+}
+
+func (b *unconfirmedBody) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = fmt.Errorf("connection failed while the request was being sent: %w", b.writeErr)
+	}
+	return n, err
+}
+
 // readResponse reads the head of the final answer and skips informational (1xx) ones. All these heads together may have
 // maxHeadBytes.
 func (p *Pool) readResponse(c *conn, method string) (*Response, error) {
