servicehttp: a response without a length counts only if the request was written

What callers would see: a booking answered as completed with a part of the service's response, if the service responds early, without a length, and its connection is reset.

In net/http the read and the write of a connection compete for the error of the socket. If the write gets it, the response seems to end in order.

Change: for a response that ends with its connection, the client waits until net/http has reported the end of the write, and fails if the write did.

--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"syscall"
@@ -53,6 +55,10 @@
 		return port.ServiceResponse{}, &port.NotSentError{Err: err}
 	}
 	req.GetBody = nil
+	written := make(chan error, 1)
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written <- info.Err },
+	}))
 	res, err := c.http.Do(req)
 	if err != nil {
 		return port.ServiceResponse{}, port.MarkNotSent(err)
@@ -65,12 +71,37 @@
 	if len(text) > maxBodyBytes {
 		return port.ServiceResponse{}, errors.New("response of the service is too large")
 	}
-	if isUnframed(res) && c.crashed(ctx) {
-		return port.ServiceResponse{}, errCrashed
+	if isUnframed(res) {
+		if err := awaitWritten(written); err != nil {
+			return port.ServiceResponse{}, err
+		}
+		if c.crashed(ctx) {
+			return port.ServiceResponse{}, errCrashed
+		}
 	}
 	return port.ServiceResponse{Status: res.StatusCode, Body: string(text), RetryAfter: port.RetryAfter(res.Header, time.Now())}, nil
 }
 
+// writtenTimeout bounds the wait for the end of the write of a request whose response has ended. net/http closes the
+// connection after such a response, which ends the write.
+const writtenTimeout = time.Second
+
+var errNotWritten = errors.New("response ended with its connection before the request was written")
+
+// awaitWritten returns an error unless the whole request was written. The kernel reports the failure of a connection once: if
+// the write has got it, the read of the response sees an end in order.
+func awaitWritten(written <-chan error) error {
+	select {
+	case err := <-written:
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNotWritten, err)
+		}
+		return nil
+	case <-time.After(writtenTimeout):
+		return errNotWritten
+	}
+}
+
 var errCrashed = errors.New("service ended before the end of its response was certain")
 
 // isUnframed reports whether the response has neither a length nor chunks, so that its end is known only from that of its
