platform: bound the heads of answers from engines and from the store

Cause: bodies of answers were bounded, heads only by net/http, at 10 MB.

Change: platform.NewTransport bounds a head, with the informational heads before it, at 64 KB, for engines and for the store.

Measured: TestEndlessAnswerNeedsLittleMemory failed before the change: header lines, early hints, informational heads, a header line and the status line had 91 to 190 MB allocated, where 16 MB are allowed for an answer of an engine. It passes after it.

--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"strconv"
@@ -22,10 +21,6 @@
 
 var errNoPlatform = errors.New("camphorbankd: -platform needs the variable " + platform.SettingsVariable)
 
-// maxIdleStoreConns is the number of idle connections to the platform's store that are kept open. The process uses two
-// at a time: one for the watch and one for reads.
-const maxIdleStoreConns = 2
-
 // runOnPlatform runs the process with the settings that the platform wrote for its VM. It reloads them on SIGHUP.
 func runOnPlatform(metricsPort int) error {
 	path := os.Getenv(platform.SettingsVariable)
@@ -48,7 +43,7 @@
 	logHandler := logline.New(os.Stdout)
 	defer logHandler.Close()
 	log.SetHandler(logHandler)
-	transport := &http.Transport{DialContext: upstream.Dialer().DialContext, MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true}
+	transport := platform.NewTransport(upstream.Dialer().DialContext)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return node.Run(ctx, s, node.Adapters{
