--- a/internal/node/ranklink.go
+++ b/internal/node/ranklink.go
@@ -122,7 +122,7 @@
 		return nil, errUnknownRank
 	}
 	if other.Name == r.settings.Name {
-		return r.engine.Experts(ctx)
+		return r.agent.Experts(ctx)
 	}
 	var out [][]int
 	call, cancel := context.WithTimeout(ctx, agentTimeout)
--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -59,8 +59,11 @@
 	Lagged bool `json:"l,omitempty"`
 }
 
-// Read reads the engine and takes a snapshot of its counts.
+// Read reads the engine and takes a snapshot of its counts. It fails after readTimeout, when its caller has stopped waiting:
+// the readings of an engine that does not answer would otherwise use up the calls that a connection may have in progress.
 func (a *Agent) Read(ctx context.Context, r ReadRequest) (ReadReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	a.mu.Lock()
 	a.lastReads[r.Coordinator] = time.Now()
 	a.mu.Unlock()
@@ -84,6 +87,13 @@
 	return out, nil
 }
 
+// Experts returns the experts that the engine holds, by layer. It fails after readTimeout.
+func (a *Agent) Experts(ctx context.Context) ([][]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return a.engine.Experts(ctx)
+}
+
 // LastRead returns when a coordinator of a rank lower than below last read this rank, or the zero time.
 func (a *Agent) LastRead(below int) time.Time {
 	a.mu.Lock()
