rankgroup, metrics: log why a rank is not read, serve the memory of a process

A coordinator now logs group event=rank-silent, with the error, and event=rank-answers, once for each change. /metrics has the gauge memory_bytes.

TestHandlerServesMemory failed before the change.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"runtime/metrics"
 	"sort"
 	"strconv"
 	"strings"
@@ -91,6 +92,7 @@
 // NAME VALUE.
 func Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		SetGauge("memory_bytes", memoryBytes())
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		expvar.Do(func(kv expvar.KeyValue) {
 			for _, line := range formatVar(kv) {
@@ -100,6 +102,13 @@
 	})
 }
 
+// memoryBytes returns the memory that the Go runtime has mapped and not returned to the operating system.
+func memoryBytes() int64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
 // formatVar returns the lines of one published variable. Variables of other types than those above yield none.
 func formatVar(kv expvar.KeyValue) []string {
 	var out []string
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -22,3 +22,12 @@
 		}
 	}
 }
+
+// TestHandlerServesMemory guards against a process whose memory grows without a trace in its metrics.
+func TestHandlerServesMemory(t *testing.T) {
+	w := httptest.NewRecorder()
+	Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	if !strings.Contains(w.Body.String(), "gauge{memory_bytes} ") || strings.Contains(w.Body.String(), "gauge{memory_bytes} 0\n") {
+		t.Errorf("metrics lack the memory:\n%s", w.Body)
+	}
+}
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -194,7 +194,10 @@
 		if e.Step > 0 {
 			f["step"] = e.Step
 		}
-		if e.Kind == rankgroup.EventReportsLagged {
+		switch e.Kind {
+		case rankgroup.EventRankSilent, rankgroup.EventRankAnswers:
+			f["rank"] = e.Rank
+		case rankgroup.EventReportsLagged:
 			f["rank"], f["wait"] = e.Rank, e.Took
 		}
 		if e.Err != nil {
--- a/internal/rankgroup/branch.go
+++ b/internal/rankgroup/branch.go
@@ -57,13 +57,15 @@
 // reading is what the coordinator has read from all ranks.
 type reading struct {
 	replies   []ReadReply // by rank
+	failures  []error     // by rank: why it has no reply, or nil
 	malformed []error     // by rank: why its counts could not be decoded, or nil
 	sums      [][]float64 // growth of the counts, added up over the ranks of each relayed branch; nil for other branches
 }
 
 // readBranches reads all ranks. It updates c.answered.
 func (c *Coordinator) readBranches(ctx context.Context, statusOnly bool) reading {
-	out := reading{replies: make([]ReadReply, c.opt.Size), malformed: make([]error, c.opt.Size), sums: make([][]float64, len(c.branches))}
+	out := reading{replies: make([]ReadReply, c.opt.Size), failures: make([]error, c.opt.Size), malformed: make([]error, c.opt.Size),
+		sums: make([][]float64, len(c.branches))}
 	forEach(len(c.branches), func(i int) {
 		b := c.branches[i]
 		if b.relay >= 0 {
@@ -84,6 +86,7 @@
 	reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, HaveSnapshot: c.snapshots[rank], StatusOnly: statusOnly,
 		Layers: c.layers()})
 	c.answered[rank] = err == nil
+	out.failures[rank] = err
 	out.replies[rank] = reply
 }
 
@@ -104,6 +107,9 @@
 	for k, rank := range b.ranks {
 		r := reply.Ranks[k]
 		c.answered[rank] = r.Answered
+		if !r.Answered {
+			out.failures[rank] = errRelayGotNone
+		}
 		out.replies[rank] = ReadReply{Status: r.Status, Number: r.Number, Lagged: r.Lagged}
 		if r.Malformed != "" {
 			out.malformed[rank] = errors.New(r.Malformed)
@@ -117,6 +123,9 @@
 	return true
 }
 
+// errRelayGotNone is the failure of a rank whose relay has no reply from it.
+var errRelayGotNone = errors.New("the rank has not answered its relay")
+
 // orderAll sends an order to all ranks.
 func (c *Coordinator) orderAll(ctx context.Context, o Order, limit time.Duration) []OrderResult {
 	out := make([]OrderResult, c.opt.Size)
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -55,6 +55,8 @@
 	EventSwitchFailed  EventKind = "switch-failed"
 	EventRecoverFailed EventKind = "recover-failed" // a rank did not accept the new term
 	EventReportsLagged EventKind = "reports-lagged" // the ranks are read again, since reports were older than the term
+	EventRankSilent    EventKind = "rank-silent"    // a rank that answered readings no longer does
+	EventRankAnswers   EventKind = "rank-answers"   // a silent rank answers again
 	EventDisarmFailed  EventKind = "disarm-failed"  // an armed map could not be cancelled, and the group stays held
 	EventReleased      EventKind = "released"       // the release of a leftover hold was ordered
 )
@@ -191,7 +193,10 @@
 
 func (c *Coordinator) read(ctx context.Context, statusOnly bool) bool {
 	c.engine = c.opt.Engine()
-	c.applyReading(c.readBranches(ctx, statusOnly), c.opt.Now(), statusOnly)
+	before := slices.Clone(c.answered)
+	r := c.readBranches(ctx, statusOnly)
+	c.notifyAnswers(before, r.failures)
+	c.applyReading(r, c.opt.Now(), statusOnly)
 	c.opt.SendReport(c.report())
 	return c.allOpen()
 }
@@ -216,6 +221,19 @@
 	}
 }
 
+// notifyAnswers reports the ranks that have stopped or begun to answer since the reading before.
+func (c *Coordinator) notifyAnswers(before []bool, failures []error) {
+	for rank, answered := range c.answered {
+		switch {
+		case answered == before[rank]:
+		case answered:
+			c.opt.Notify(Event{Kind: EventRankAnswers, Epoch: c.epoch, Rank: rank})
+		default:
+			c.opt.Notify(Event{Kind: EventRankSilent, Epoch: c.epoch, Rank: rank, Err: failures[rank]})
+		}
+	}
+}
+
 // addCounts adds the growth of the counts since the last reading to the popularity estimate.
 func (c *Coordinator) addCounts(r reading) {
 	var sum []float64
