--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -23,8 +23,6 @@
 	maxEventBytes = 1 << 20
 	// maxTextBytes bounds the text of one response. It is 80 bytes for each token of the largest request.
 	maxTextBytes = 8 << 20
-	// maxHeaderBytes bounds the headers of a response.
-	maxHeaderBytes = 16 << 10
 	// dialTimeout bounds connecting to the engine, which runs on the same VM.
 	dialTimeout = time.Second
 	// cancelTimeout bounds the request that cancels a stream. The stream's connection is closed as well, so that a lost
@@ -57,7 +55,7 @@
 	transport := &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    64,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: port.MaxHeadBytes,
 		DisableCompression:     true,
 	}
 	return &Client{
--- a/internal/adapter/localhttp/client.go
+++ b/internal/adapter/localhttp/client.go
@@ -63,12 +63,13 @@
 	}
 	return &Client{scheme: scheme, http: &http.Client{
 		Transport: &http.Transport{
-			TLSClientConfig:     tlsConfig,
-			TLSHandshakeTimeout: dialTimeout,
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
+			TLSClientConfig:        tlsConfig,
+			TLSHandshakeTimeout:    dialTimeout,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    8,
+			MaxResponseHeaderBytes: port.MaxHeadBytes,
+			IdleConnTimeout:        30 * time.Second,
+			DisableCompression:     true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/internal/adapter/platformhttp/platform.go
+++ b/internal/adapter/platformhttp/platform.go
@@ -43,6 +43,7 @@
 	t.TLSHandshakeTimeout = connectTimeout
 	t.ResponseHeaderTimeout = watchTimeout + connectTimeout
 	t.MaxIdleConnsPerHost = 2
+	t.MaxResponseHeaderBytes = port.MaxHeadBytes
 	t.DialContext = traffic.Dial
 	return &http.Client{Transport: t}
 }
--- /dev/null
+++ b/internal/adapter/rankhttp/endless_test.go
@@ -0,0 +1,33 @@
+package rankhttp
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/test/standin/endless"
+)
+
+// TestEndlessReply guards against an engine that sends bytes without end in any part of a reply. A process that keeps them
+// uses up the memory of its VM.
+func TestEndlessReply(t *testing.T) {
+	for name, call := range map[string]func(context.Context, *Client) error{
+		"state":      func(ctx context.Context, c *Client) error { _, err := c.State(ctx); return err },
+		"map":        func(ctx context.Context, c *Client) error { _, err := c.Map(ctx); return err },
+		"popularity": func(ctx context.Context, c *Client) error { _, err := c.Popularity(ctx); return err },
+		"stage": func(ctx context.Context, c *Client) error {
+			return errors.Join(c.Stage(ctx, 1, port.ExpertMap{}), errAnsweredByStatus)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endless.Check(t, smallReplyBytes, func(ctx context.Context, addr string) error { return call(ctx, New("http://"+addr)) })
+		})
+	}
+}
+
+// smallReplyBytes is more than any of these replies needs before its decoding fails.
+const smallReplyBytes = 1 << 20
+
+// errAnsweredByStatus stands for the success of a command, of whose reply only the status counts.
+var errAnsweredByStatus = errors.New("the status of the reply decides")
--- a/internal/adapter/rankhttp/rankhttp.go
+++ b/internal/adapter/rankhttp/rankhttp.go
@@ -57,8 +57,9 @@
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
 	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression: true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxResponseHeaderBytes: port.MaxHeadBytes,
+		DisableCompression:     true,
 	}}}
 }
 
--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -19,9 +19,8 @@
 )
 
 const (
-	// maxBodyBytes and maxHeaderBytes bound the response of a service.
-	maxBodyBytes   = 1 << 20
-	maxHeaderBytes = 16 << 10
+	// maxBodyBytes bounds the body of a service's response.
+	maxBodyBytes = 1 << 20
 	// dialTimeout bounds connecting to the service, which runs on the same VM.
 	dialTimeout = time.Second
 )
@@ -39,7 +38,7 @@
 		// net/http retries a request by itself when a reused connection breaks, so connections are not reused.
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: port.MaxHeadBytes,
 	}
 	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{
 		Transport:     transport,
