node: ignore an engine's report of an impossible place in its group

Cause: a process beside an engine took the rank and the size of the group as the engine reports them. A rank outside of the group ends the process when its coordinator starts (index out of range), a size of any number uses up its memory. Found while looking for what faulty engines and odd entries can end.

Change: such a report counts as none.

Measured: TestImpossiblePlaceInGroup failed before for all five impossible places. TestSuspendedProcessOfRank also asks that a direct reading is marked as lagged; it passes since.

--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerRetryDelay)
 	defer cancel()
 	s, err := r.engine.Status(ctx)
-	if err != nil || s.Group == "" {
+	if err != nil || !s.InGroup() {
 		return fleet.Rank{}, false
 	}
 	r.mu.Lock()
--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -35,7 +35,7 @@
 	if experts, err := r.Experts(ctx, 1); err != nil || len(experts) != 1 {
 		t.Errorf("experts %v, error %v", experts, err)
 	}
-	if reply, err := r.Read(t.Context(), 1, rankgroup.ReadRequest{}); err != nil || reply.Status.Epoch != 3 {
+	if reply, err := r.Read(t.Context(), 1, rankgroup.ReadRequest{}); err != nil || reply.Status.Epoch != 3 || !reply.Lagged {
 		t.Errorf("reading %+v, error %v", reply, err)
 	}
 	start := time.Now()
@@ -48,6 +48,33 @@
 	}
 }
 
+// placedEngine is an engine that reports a place in a group.
+type placedEngine struct {
+	rankgroup.Engine
+	size, rank int
+}
+
+func (e placedEngine) Status(context.Context) (rankgroup.Status, error) {
+	return rankgroup.Status{Group: "g", Size: e.size, Rank: e.rank}, nil
+}
+
+// TestImpossiblePlaceInGroup guards against a faulty engine that ends the process beside it, or uses up its memory, by a rank
+// outside of its group or a group of any size.
+func TestImpossiblePlaceInGroup(t *testing.T) {
+	for _, c := range []struct {
+		size, rank int
+		ok         bool
+	}{{8, 0, true}, {8, 7, true}, {8, 8, false}, {8, -1, false}, {0, 0, false}, {-3, -4, false}, {1 << 50, 1, false}} {
+		r := newRank(&Settings{Name: "self", IP: "127.0.0.1"}, Adapters{Engine: func(string) rankgroup.Engine {
+			return placedEngine{size: c.size, rank: c.rank}
+		}})
+		if self, ok := r.identify(t.Context()); ok != c.ok {
+			t.Errorf("rank %d of %d: %+v, %v", c.rank, c.size, self, ok)
+		}
+		r.peers.Close()
+	}
+}
+
 // TestGroupWithRanksOfOthersIsOpen guards against a group that gets no requests because some of its engines have no
 // camphorbank process beside them, and against requests for a group with a rank that has stopped answering. With ten
 // engines for each VM of camphorbank, the first fault left all streams unserved.
--- a/internal/rankgroup/engine.go
+++ b/internal/rankgroup/engine.go
@@ -42,6 +42,14 @@
 	Pace        float64 `json:"x,omitempty"` // above 1 if the engine takes longer than others for the same work
 }
 
+// maxGroupSize is more than the number of ranks of any group. A coordinator allocates memory for each rank.
+const maxGroupSize = 4096
+
+// InGroup reports whether the status names a possible place in a group.
+func (s Status) InGroup() bool {
+	return s.Group != "" && s.Size <= maxGroupSize && s.Rank >= 0 && s.Rank < s.Size
+}
+
 // essential returns the fields that a coordinator needs. The others are left out of what a relay sends.
 func (s Status) essential() Status {
 	return Status{Epoch: s.Epoch, Open: s.Open, Step: s.Step, Map: s.Map, Prepared: s.Prepared, Armed: s.Armed, Held: s.Held,
