gateway: a refusal without an id on a connection in use is no promise

Reported by operators of similar systems: a faulty runner wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that a runner was running. With an id, or for requests that must run once, such a copy was dropped before. For requests that may be repeated, a refusal without an id was believed on a connection that had carried other requests, and the caller got 503.

Change: it counts as the answer to another request. The request may have run, so another target is tried within the budget, and the caller gets 502 if that fails too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -228,10 +228,11 @@
 }
 
 // ofOtherRequest reports whether an answer belongs to another request. One without an id may be a late copy if its
-// connection has carried other requests; then it is no success, and a request that must run once cannot rely on it at all.
+// connection has carried other requests; then it is no success and no promise that the request has not run, and a request
+// that must run once cannot rely on it at all.
 func (x *exchange) ofOtherRequest(a Answer, resp *upstream.Response) bool {
 	if a.ID == "" {
-		return resp.Reused && (!x.route.Idempotent() || resp.Status < http.StatusMultipleChoices)
+		return resp.Reused && (!x.route.Idempotent() || a.NotRun || resp.Status < http.StatusMultipleChoices)
 	}
 	return a.ID != x.call.ID
 }
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -276,6 +276,22 @@
 	}
 }
 
+// TestLateCopyOfRefusalWithoutID guards against a late copy of a refusal without an id that is taken for the answer to the next
+// request on its connection. Its caller would be told that the request has not run, while the target runs it.
+func TestLateCopyOfRefusalWithoutID(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x", "/once/x", "/unsafe/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, target.RefuseNotRun(), target.RefuseNotRun())
+			if a := f.do("POST", path, "one", target.HeaderID, "first"); a.status != 503 {
+				t.Errorf("status %d on a new connection, want 503", a.status)
+			}
+			if a := f.do("POST", path, "two", target.HeaderID, "second"); a.status != 502 {
+				t.Errorf("status %d on a connection in use, want 502, which leaves open whether the request has run", a.status)
+			}
+		})
+	}
+}
+
 // TestLeaveDuringConnect guards against a request that is sent to a target whose leave has become known, from its answer to
 // another request or from a peer, while the connection for this request was opened. The first connection to the target
 // takes until the leave is known.
