logline: entries after the end of the handler are dropped, and the end is bounded

Cause: Close closed the channel of queued lines. Requests that outlast the grace period of a stop still log then, and a send on a closed channel ends the process with a panic, without its last lines (seen by the review, by reading). Close also waited without a bound for a reader that has stopped.

Change: Close signals the writer, which writes what is queued; later entries stay in the queue. Close waits for half a second at most.

--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -14,19 +14,24 @@
 	"github.com/apex/log"
 )
 
-// maxQueuedLines is the capacity of the queue of formatted lines. Lines beyond it are dropped and counted.
-const maxQueuedLines = 2048
+const (
+	// maxQueuedLines is the capacity of the queue of formatted lines. Lines beyond it are dropped and counted.
+	maxQueuedLines = 2048
+	// closeTimeout bounds the wait for the writer at the end. The reader of the lines may have stopped to read.
+	closeTimeout = 500 * time.Millisecond
+)
 
 // Handler formats log entries as key=value pairs and queues them for a goroutine that writes them.
 type Handler struct {
 	lines   chan []byte
-	done    chan struct{}
+	stop    chan struct{} // closed by Close
+	done    chan struct{} // closed when the writer goroutine has ended
 	dropped atomic.Int64
 }
 
 // New returns a handler that writes to w, and starts its writer goroutine. Close ends it.
 func New(w io.Writer) *Handler {
-	h := &Handler{lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	h := &Handler{lines: make(chan []byte, maxQueuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go h.write(w)
 	return h
 }
@@ -41,35 +46,52 @@
 	return nil
 }
 
-// Close writes the queued lines and ends the writer goroutine. HandleLog must not be called afterwards.
+// Close writes the queued lines and ends the writer goroutine. It must be called once. Entries that are handled afterwards are
+// lost: requests that outlast the grace period of a stop still log when the process ends.
 func (h *Handler) Close() {
-	close(h.lines)
-	<-h.done
+	close(h.stop)
+	select {
+	case <-h.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
-// write writes queued lines to w until Close. It joins all waiting lines into one write to save system calls.
+// write writes queued lines to w until Close, and then those that are still queued.
 func (h *Handler) write(w io.Writer) {
 	defer close(h.done)
 	var buf bytes.Buffer
-	for line := range h.lines {
-		buf.Reset()
-		buf.Write(line)
-		for more := true; more; {
-			select {
-			case next, ok := <-h.lines:
-				buf.Write(next)
-				more = ok
-			default:
-				more = false
-			}
+	for {
+		select {
+		case line := <-h.lines:
+			h.writeBatch(w, &buf, line)
+		case <-h.stop:
+			h.writeBatch(w, &buf, nil)
+			return
 		}
-		if n := h.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(&buf, "time=%s level=warn msg=\"log lines dropped\" lines=%d\n", formatTime(time.Now()), n)
-		}
-		if _, err := w.Write(buf.Bytes()); err != nil {
-			h.dropped.Add(1) // a failed write has no other place to be reported
+	}
+}
+
+// writeBatch joins a line and all that are queued into one write, to save system calls.
+func (h *Handler) writeBatch(w io.Writer, buf *bytes.Buffer, line []byte) {
+	buf.Reset()
+	buf.Write(line)
+	for more := true; more; {
+		select {
+		case next := <-h.lines:
+			buf.Write(next)
+		default:
+			more = false
 		}
 	}
+	if n := h.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(buf, "time=%s level=warn msg=\"log lines dropped\" lines=%d\n", formatTime(time.Now()), n)
+	}
+	if buf.Len() == 0 {
+		return
+	}
+	if _, err := w.Write(buf.Bytes()); err != nil {
+		h.dropped.Add(1) // a failed write has no other place to be reported
+	}
 }
 
 func formatTime(t time.Time) string { return t.UTC().Format("2006-01-02T15:04:05.000Z") }
