tcpconn: connections between processes fail when the peer has gone silent

Cause: connections to targets had TCP_USER_TIMEOUT and short keep-alive probes, those between processes had neither (seen by the review, by reading). One that goes silent without a reset stayed in use for minutes: calls on it waited for their own deadlines, and a write for up to 10 s, during which the library lets no other call of the connection write.

Change: the options move to a package of their own, which opens the connections to targets, engines, services, peers and the store, and accepts those of peers. Callers' connections keep the system's: data may wait there as long as a slow caller does not read.

A silent link itself can't be brought about in a test on loopback without root.

--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -15,6 +15,7 @@
 	"github.com/camphorbank/camphorbank/internal/logline"
 	"github.com/camphorbank/camphorbank/internal/node"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 	"github.com/camphorbank/camphorbank/platform"
 )
@@ -43,7 +44,7 @@
 	logHandler := logline.New(os.Stdout)
 	defer logHandler.Close()
 	log.SetHandler(logHandler)
-	transport := platform.NewTransport(upstream.Dialer().DialContext)
+	transport := platform.NewTransport(tcpconn.Dialer(upstream.DialTimeout).DialContext)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return node.Run(ctx, s, node.Adapters{
--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -9,13 +9,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -53,7 +53,7 @@
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            tcpconn.Dialer(dialTimeout).DialContext,
 		MaxIdleConnsPerHost:    64,
 		MaxResponseHeaderBytes: port.MaxHeadBytes,
 		DisableCompression:     true,
--- a/internal/adapter/localhttp/client.go
+++ b/internal/adapter/localhttp/client.go
@@ -10,13 +10,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
@@ -65,7 +65,7 @@
 		Transport: &http.Transport{
 			TLSClientConfig:        tlsConfig,
 			TLSHandshakeTimeout:    dialTimeout,
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:            tcpconn.Dialer(dialTimeout).DialContext,
 			MaxIdleConnsPerHost:    8,
 			MaxResponseHeaderBytes: port.MaxHeadBytes,
 			IdleConnTimeout:        30 * time.Second,
--- a/internal/adapter/rankhttp/rankhttp.go
+++ b/internal/adapter/rankhttp/rankhttp.go
@@ -9,12 +9,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -57,7 +57,7 @@
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
 	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            tcpconn.Dialer(dialTimeout).DialContext,
 		MaxResponseHeaderBytes: port.MaxHeadBytes,
 		DisableCompression:     true,
 	}}}
--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -34,7 +34,7 @@
 // New returns a client of the service at the base URL.
 func New(base string) *Client {
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: tcpconn.Dialer(dialTimeout).DialContext,
 		// net/http retries a request by itself when a reused connection breaks, so connections are not reused.
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
@@ -114,7 +114,7 @@
 	if err != nil {
 		return false
 	}
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.WithoutCancel(ctx), "tcp", base.Host)
+	conn, err := tcpconn.Dialer(dialTimeout).DialContext(context.WithoutCancel(ctx), "tcp", base.Host)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/camphorbank/camphorbank/internal/settings"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/traffic"
 )
 
@@ -47,7 +48,7 @@
 
 // listenControl opens the control listener like listen, and counts its traffic.
 func listenControl(addr string, conf *tls.Config) (net.Listener, error) {
-	l, err := listen(addr, nil)
+	l, err := tcpconn.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,6 +21,7 @@
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -103,7 +104,7 @@
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	control, err := net.Listen("tcp", e.settings.Listen.Control)
+	control, err := tcpconn.Listen(e.settings.Listen.Control)
 	if err != nil {
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
--- /dev/null
+++ b/internal/tcpconn/tcpconn.go
@@ -0,0 +1,43 @@
+// Package tcpconn opens and accepts TCP connections that fail when the peer no longer responds. Without its options, a
+// connection that has gone silent stays in use for minutes.
+package tcpconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// unackedTimeout is the time after which a connection is closed whose peer does not acknowledge data that was sent.
+	unackedTimeout = 2 * time.Second
+	// probeIdle, probeInterval and probeCount are those of the keep-alive probes on idle connections.
+	probeIdle, probeInterval = time.Second, time.Second
+	probeCount               = 2
+	// userTimeoutOption is the number of the socket option TCP_USER_TIMEOUT, which package syscall does not define.
+	userTimeoutOption = 0x12
+)
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+
+// Dialer returns a dialer that waits for a connection for the given time at most.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+}
+
+// Listen listens on a TCP address. The connections that it accepts have the options of the listening socket.
+func Listen(addr string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return config.Listen(context.Background(), "tcp", addr)
+}
+
+// setUserTimeout sets the time for which data may stay unacknowledged on a socket.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeoutOption, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -6,6 +6,9 @@
 	"context"
 	"expvar"
 	"net"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 // controlBytes counts the bytes sent and received on control connections and on connections to the platform.
@@ -20,9 +23,12 @@
 // CountListener wraps a listener so that the bytes of the connections it accepts are counted.
 func CountListener(l net.Listener) net.Listener { return countedListener{l} }
 
-// Dial connects to addr like net.Dialer.DialContext and returns a connection whose bytes are counted.
+// dialTimeout bounds the time for opening a connection, where the context does not.
+const dialTimeout = 5 * time.Second
+
+// Dial connects to addr and returns a connection whose bytes are counted.
 func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := new(net.Dialer).DialContext(ctx, network, addr)
+	c, err := tcpconn.Dialer(dialTimeout).DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,36 +14,17 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
 	// DialTimeout bounds the time for opening a connection. The latency to targets is a few milliseconds.
 	DialTimeout = 400 * time.Millisecond
-	// unackedTimeout is the time after which a connection is closed whose peer does not acknowledge data that was sent.
-	unackedTimeout = 2 * time.Second
 	// readBufferBytes is enough for the head of a response and several events of a stream.
 	readBufferBytes = 4 << 10
-	// tcpUserTimeoutOption is the number of the socket option TCP_USER_TIMEOUT, which package syscall does not define.
-	tcpUserTimeoutOption = 0x12
 )
 
-// Dialer returns a dialer whose connections fail when the peer no longer responds, by TCP keep-alive while they are
-// idle and by TCP_USER_TIMEOUT while data is unacknowledged.
-func Dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:         DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var failed error
-			err := c.Control(func(fd uintptr) {
-				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption,
-					int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, failed)
-		},
-	}
-}
-
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -154,9 +135,9 @@
 	atMostOnceMaxIdle = 400 * time.Millisecond
 )
 
-// NewPool returns an empty pool that opens connections with a Dialer.
+// NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{Dial: Dialer().DialContext, idle: map[string][]*conn{}}
+	return &Pool{Dial: tcpconn.Dialer(DialTimeout).DialContext, idle: map[string][]*conn{}}
 }
 
 // Dials returns the number of attempts to open a connection.
