gateway: bound the memory of request bodies, fairly over client accounts

Cause: the bodies of requests in progress were held whole, 4 MB each, without a bound on their sum, on VMs whose memory the platform limits (seen by the review, by reading). A crest of large bodies gets an entry killed, and with it all of its requests.

Change: internal/membudget bounds the sum to a quarter of the memory that the settings state. An account may hold as much as is free (the dynamic threshold of shared-memory switches), so one account's crest leaves room for the others. A body beyond that is refused before it is read, as not run, with the reason memory-used-up. The Go runtime is told to keep below 80 in 100 of the memory; GOMEMLIMIT takes precedence.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -17,7 +17,7 @@
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Observe and Closing are
+// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Bodies, Observe and Closing are
 // required.
 type Gateway struct {
 	HeaderTranslator HeaderTranslator
@@ -27,6 +27,7 @@
 	Retries          *retry.FleetBudget
 	Pool             *upstream.Pool
 	Quarantine       *quarantine.Tracker // nil for a gateway that tracks no parts of prompts
+	Bodies           *membudget.Budget   // memory for the bodies of requests in progress; nil for no bound
 	Observe          func(*Record)       // receives the record of each request when it has ended; must not block
 	// Closing reports whether connections are to be closed after their present answer.
 	Closing func() bool
@@ -44,6 +45,8 @@
 	readyWriteTime = 2 * time.Second
 	// noConfigRetryAfter is the retry-after time of callers of a process that has no configuration yet.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is the retry-after time of callers for whose bodies there is no memory. Most requests hold it for less.
+	memoryRetryAfter = 500 * time.Millisecond
 )
 
 // ServeHTTP handles one request of a caller.
@@ -51,6 +54,7 @@
 	x := &exchange{g: g, w: w, r: r, call: g.HeaderTranslator.Call(r.Header)}
 	x.record = Record{ID: x.call.ID, Started: time.Now()}
 	defer func() {
+		x.memory.Release()
 		x.record.Duration = time.Since(x.record.Started)
 		if g.Observe != nil {
 			g.Observe(&x.record)
@@ -75,7 +79,8 @@
 	service  string
 	account  *routetable.Account // nil if the route needs no key
 	body     []byte
-	ctx      context.Context // ends when the caller leaves or the deadline passes
+	memory   *membudget.Lease // of the body; nil if there is none
+	ctx      context.Context  // ends when the caller leaves or the deadline passes
 	deadline time.Time
 	record   Record
 
@@ -142,9 +147,14 @@
 		x.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 		return false
 	}
+	x.memory = x.g.Bodies.Lease(x.accountName())
 	body, err := x.readBodyInTime(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		x.w.Header().Set("Connection", "close") // the rest of the body is not read
+		x.refuse(http.StatusServiceUnavailable, ReasonMemory, memoryRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 		return false
@@ -166,7 +176,7 @@
 	if err := setBodyDeadline(x.r, end); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readWithinMemory(http.MaxBytesReader(x.w, x.r.Body, limit))
 	if err != nil && !time.Now().Before(end) {
 		err = errors.Join(err, os.ErrDeadlineExceeded) // net/http drops the cause if trailers cannot be read
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -32,6 +32,7 @@
 	ReasonTooLarge   Reason = "body-too-large"
 	ReasonSlowBody   Reason = "body-too-slow"
 	ReasonBody       Reason = "body-incomplete"
+	ReasonMemory     Reason = "memory-used-up" // of the bodies of requests in progress
 	ReasonTimeout    Reason = "timeout"
 	ReasonAttempts   Reason = "attempts-used-up"
 	ReasonBudget     Reason = "retry-budget-used-up"
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -17,6 +17,7 @@
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -48,6 +49,7 @@
 	targets       *targetset.Set
 	balance       *balance.Balancer
 	quarantine    *quarantine.Tracker
+	bodies        *membudget.Budget // nil for no bound
 	retries       *retry.FleetBudget
 	pool          *upstream.Pool
 	peers         *peer.Pool
@@ -64,6 +66,7 @@
 func newEntry(s *Settings, a Adapters) *entry {
 	e := &entry{settings: s, adapters: a, tables: &routetable.Store{}, targets: targetset.New(), pool: upstream.NewPool(),
 		peers: &peer.Pool{IdleTimeout: peerIdleTimeout}, records: decision.NewRing(maxRecords)}
+	e.bodies = s.bodyBudget()
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
 	e.balance.Notify, e.balance.Connected = logBalance, e.pool.Idle
@@ -142,7 +145,7 @@
 func (e *entry) newCallerServer() *http.Server {
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-		Pool: e.pool, Quarantine: e.quarantine, Observe: e.observe, Closing: e.stopping.Load,
+		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.bodies, Observe: e.observe, Closing: e.stopping.Load,
 	})
 	server.ErrorLog = serverLog
 	return server
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -29,8 +29,9 @@
 func Run(ctx context.Context, s *Settings, a Adapters) error {
 	log.WithFields(log.Fields{
 		"version": version.Version, "node": s.Name, "role": s.Role, "data_centre": s.DataCentre, "callers": s.Listen.Callers,
-		"control": s.Listen.Control, "engine": s.LocalEngine, "first_start": s.FirstStart,
+		"control": s.Listen.Control, "engine": s.LocalEngine, "first_start": s.FirstStart, "memory": s.MemoryBytes,
 	}).Info("starting")
+	s.limitHeap()
 	started := time.Now()
 	var err error
 	if s.Role == RoleEntry {
