--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -15,7 +15,6 @@
 	"github.com/camphorbank/camphorbank/internal/logline"
 	"github.com/camphorbank/camphorbank/internal/node"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 	"github.com/camphorbank/camphorbank/platform"
 )
@@ -44,7 +43,7 @@
 	logHandler := logline.New(os.Stdout)
 	defer logHandler.Close()
 	log.SetHandler(logHandler)
-	transport := platform.NewTransport(tcpconn.Dialer(upstream.DialTimeout).DialContext)
+	transport := platform.NewTransport(upstream.DialTimeout)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return node.Run(ctx, s, node.Adapters{
--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -14,8 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -52,12 +52,8 @@
 
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
-	transport := &http.Transport{
-		DialContext:            tcpconn.Dialer(dialTimeout).DialContext,
-		MaxIdleConnsPerHost:    64,
-		MaxResponseHeaderBytes: port.MaxHeadBytes,
-		DisableCompression:     true,
-	}
+	transport := httpclient.NewTransport(dialTimeout)
+	transport.MaxIdleConnsPerHost = 64
 	return &Client{
 		FirstTokenTimeout: defaultFirstTokenTimeout, StallTimeout: defaultStallTimeout, base: strings.TrimRight(base, "/"),
 		http: &http.Client{
--- a/internal/adapter/localhttp/client.go
+++ b/internal/adapter/localhttp/client.go
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
@@ -61,16 +61,11 @@
 	if tlsConfig != nil {
 		scheme = "https://"
 	}
+	transport := httpclient.NewTransport(dialTimeout)
+	transport.TLSClientConfig, transport.TLSHandshakeTimeout = tlsConfig, dialTimeout
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 8, 30*time.Second
 	return &Client{scheme: scheme, http: &http.Client{
-		Transport: &http.Transport{
-			TLSClientConfig:        tlsConfig,
-			TLSHandshakeTimeout:    dialTimeout,
-			DialContext:            tcpconn.Dialer(dialTimeout).DialContext,
-			MaxIdleConnsPerHost:    8,
-			MaxResponseHeaderBytes: port.MaxHeadBytes,
-			IdleConnTimeout:        30 * time.Second,
-			DisableCompression:     true,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/adapter/platformhttp/platform.go
+++ b/internal/adapter/platformhttp/platform.go
@@ -16,6 +16,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
 	"github.com/camphorbank/camphorbank/internal/traffic"
 	"github.com/camphorbank/camphorbank/internal/wire"
@@ -43,7 +44,7 @@
 	t.TLSHandshakeTimeout = connectTimeout
 	t.ResponseHeaderTimeout = watchTimeout + connectTimeout
 	t.MaxIdleConnsPerHost = 2
-	t.MaxResponseHeaderBytes = port.MaxHeadBytes
+	t.MaxResponseHeaderBytes = httpclient.MaxHeadBytes
 	t.DialContext = traffic.Dial
 	return &http.Client{Transport: t}
 }
--- a/internal/adapter/rankhttp/rankhttp.go
+++ b/internal/adapter/rankhttp/rankhttp.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -56,11 +56,7 @@
 
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
-	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: &http.Transport{
-		DialContext:            tcpconn.Dialer(dialTimeout).DialContext,
-		MaxResponseHeaderBytes: port.MaxHeadBytes,
-		DisableCompression:     true,
-	}}}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: httpclient.NewTransport(dialTimeout)}}
 }
 
 // State reads the state of the rank.
--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
 	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
@@ -33,13 +34,9 @@
 
 // New returns a client of the service at the base URL.
 func New(base string) *Client {
-	transport := &http.Transport{
-		DialContext: tcpconn.Dialer(dialTimeout).DialContext,
-		// net/http retries a request by itself when a reused connection breaks, so connections are not reused.
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: port.MaxHeadBytes,
-	}
+	transport := httpclient.NewTransport(dialTimeout)
+	// net/http retries a request by itself when a reused connection breaks, so connections are not reused.
+	transport.DisableKeepAlives = true
 	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/cli/process_client.go
+++ b/internal/cli/process_client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -12,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/tlsconf"
 )
 
@@ -61,15 +61,17 @@
 
 // client returns the HTTP client and the URL scheme for the process.
 func (p *processClient) client() (*http.Client, string, error) {
-	if p.files == (tlsconf.Files{}) {
-		return &http.Client{Timeout: operatorTimeout}, "http", nil
+	transport := httpclient.NewTransport(operatorTimeout)
+	transport.Proxy = http.ProxyFromEnvironment
+	client, scheme := &http.Client{Timeout: operatorTimeout, Transport: transport}, "http"
+	if p.files != (tlsconf.Files{}) {
+		conf, err := p.files.PeerClient()
+		if err != nil {
+			return nil, "", err
+		}
+		transport.TLSClientConfig, scheme = conf, "https"
 	}
-	var conf *tls.Config
-	conf, err := p.files.PeerClient()
-	if err != nil {
-		return nil, "", err
-	}
-	return &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{TLSClientConfig: conf}}, "https", nil
+	return client, scheme, nil
 }
 
 // unwrapURL returns the cause of an error of net/http without the method and URL that precede it.
--- a/internal/cli/send.go
+++ b/internal/cli/send.go
@@ -15,6 +15,7 @@
 	"github.com/camphorbank/camphorbank/gen/http/camphorbank/client"
 	"github.com/camphorbank/camphorbank/gen/http/camphorbank/server"
 	"github.com/camphorbank/camphorbank/internal/adapter/callerclient"
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/tlsconf"
 )
 
@@ -46,15 +47,16 @@
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		return nil, &usageError{fmt.Errorf("-entry: %q is not a base URL such as http://127.0.0.1:8080", e.entry)}
 	}
-	doer := &http.Client{}
+	transport := httpclient.NewTransport(operatorTimeout)
+	transport.Proxy = http.ProxyFromEnvironment
 	if e.ca != "" {
 		pool, err := tlsconf.LoadPool(e.ca)
 		if err != nil {
 			return nil, &usageError{fmt.Errorf("-ca: %w", err)}
 		}
-		doer.Transport = &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}}
+		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
 	}
-	return callerclient.New(u, doer), nil
+	return callerclient.New(u, &http.Client{Transport: transport}), nil
 }
 
 func (e *entryFlags) bearer() *string {
--- /dev/null
+++ b/internal/httpclient/httpclient.go
@@ -0,0 +1,19 @@
+// Package httpclient builds the transports of HTTP clients. All of them notice peers that have gone silent, and bound the head
+// of an answer.
+package httpclient
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
+)
+
+// MaxHeadBytes bounds the head of one answer, together with informational heads before it. net/http allows 10 MB by default,
+// which as header lines need many times as much memory.
+const MaxHeadBytes = 64 << 10
+
+// NewTransport returns a transport that opens connections within dialTimeout. It uses no proxy and asks for no compression.
+func NewTransport(dialTimeout time.Duration) *http.Transport {
+	return &http.Transport{DialContext: tcpconn.Dialer(dialTimeout).DialContext, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true}
+}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -13,7 +13,7 @@
 
 	"github.com/camphorbank/camphorbank/gen/http/camphorbank/client"
 	"github.com/camphorbank/camphorbank/internal/adapter/callerclient"
-	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 )
 
 const (
@@ -119,7 +119,7 @@
 	}
 	return &http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: o.TLS, TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: o.MaxInFlight, MaxResponseHeaderBytes: port.MaxHeadBytes, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxIdleConnsPerHost: o.MaxInFlight, MaxResponseHeaderBytes: httpclient.MaxHeadBytes, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -27,8 +27,11 @@
 )
 
 const (
-	// readHeaderTimeout bounds the time to read the headers of requests for readiness and metrics.
-	readHeaderTimeout = 5 * time.Second
+	// readTimeout, writeTimeout, idleTimeout and maxHeaderBytes bound the requests for readiness and metrics.
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 10 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
 	// upkeepInterval is the time between two sweeps for outdated state.
 	upkeepInterval = 250 * time.Millisecond
 	// unreadyPropagationDelay is the time until the platform sends no more new connections to a process that is not
@@ -118,7 +121,7 @@
 	callerListener := httpdrain.New(gateway.Listener(callers, e.limits), callerServer)
 	group, failed := errgroup.WithContext(ctx)
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
-	readiness := &http.Server{Handler: e.adapters.ReadinessHandler(e.isReady), ReadHeaderTimeout: readHeaderTimeout}
+	readiness := newServer(e.adapters.ReadinessHandler(e.isReady))
 	go func() { _ = readiness.Serve(ready) }() // ends with the process
 	go func() { _ = server.Serve(background, control) }()
 	go e.watcher.Run(background)
@@ -133,6 +136,12 @@
 	return group.Wait()
 }
 
+// newServer returns a server of requests for readiness or metrics.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog}
+}
+
 // ignoreServerClosed returns err unless it only reports that the server was shut down.
 func ignoreServerClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,7 +15,6 @@
 	"github.com/camphorbank/camphorbank/internal/node"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 	"github.com/camphorbank/camphorbank/internal/status"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 	"github.com/camphorbank/camphorbank/platform"
 	"github.com/camphorbank/camphorbank/test/standin/store"
@@ -58,7 +57,7 @@
 	s.Seeds = append(seeds, s.Listen.Control)
 	ctx, stop := context.WithCancel(context.Background())
 	p := &entryProcess{t: t, settings: s, stop: stop, done: make(chan error, 1)}
-	transport := platform.NewTransport(tcpconn.Dialer(upstream.DialTimeout).DialContext)
+	transport := platform.NewTransport(upstream.DialTimeout)
 	go func() {
 		p.done <- node.Run(ctx, s, node.Adapters{HeaderTranslator: platform.HeaderTranslator{}, Source: platform.NewStoreClient(storeAddr, transport),
 			ReadinessHandler: platform.ReadyHandler, Engine: func(addr string) rankgroup.Engine { return platform.NewEngineClient(addr, transport) }})
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -68,7 +68,7 @@
 	if explain != nil {
 		mux.HandleFunc("GET /fleet/explain/{id}", explain)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: serverLog}
+	server := newServer(mux)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(l) }() // ends with the process
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -12,10 +12,6 @@
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
-// MaxHeadBytes bounds the head of one answer from outside of the process, together with informational heads before it.
-// net/http allows 10 MB by default, which as header lines need many times as much memory.
-const MaxHeadBytes = 16 << 10
-
 // Clock returns the time. Tests use a fake.
 type Clock interface {
 	Now() time.Time
