--- a/internal/adapter/servicehttp/reset_test.go
+++ b/internal/adapter/servicehttp/reset_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/test/harness"
 )
 
 // TestResetWhileRequestIsSent guards against a response that ends with its connection and counts as complete although the
@@ -20,17 +20,9 @@
 	const (
 		attempts     = 20 // the write and the read compete for the error
 		requestBytes = 32 << 20
-		bufferBytes  = 8 << 10
 		resetDelay   = 10 * time.Millisecond
 	)
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
-		})
-		return errors.Join(err, failed)
-	}}
-	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	l, err := harness.ListenWithSmallWindow(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -183,12 +183,20 @@
 	if testing.Short() {
 		seeds = shortSeeds
 	}
+	checkSeeds(t, size, unfenced, seeds, func(f *testFleet, seed uint64) {
+		f.g.Late = lateOrderShare(seed)
+		f.runWithFaults(seed, 40*time.Second)
+	})
+}
+
+// checkSeeds runs a group with each of the seeds, and fails the test if a step had two maps or maps were hardly switched.
+func checkSeeds(t *testing.T, size testSize, unfenced bool, seeds uint64, run func(f *testFleet, seed uint64)) {
 	switched := int64(0)
 	for seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(t, seed, size)
-			f.g.Late, f.g.Unfenced, f.unfenced = lateOrderShare(seed), unfenced, unfenced
-			f.runWithFaults(seed, 40*time.Second)
+			f.g.Unfenced, f.unfenced = unfenced, unfenced
+			run(f, seed)
 			f.checkNoMixedStep(seed)
 			switched += f.switched.Load()
 		})
--- a/internal/rankgroup/lag_test.go
+++ b/internal/rankgroup/lag_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
@@ -39,19 +38,10 @@
 	if testing.Short() || size.shape.Ranks > smallSize.shape.Ranks {
 		seeds = 6
 	}
-	switched := int64(0)
-	for seed := range seeds {
-		synctest.Test(t, func(t *testing.T) {
-			f := newTestFleet(t, seed, size)
-			f.g.Late, f.g.Unfenced, f.unfenced = late, unfenced, unfenced
-			f.runWithAgentsDown(seed, 40*time.Second)
-			f.checkNoMixedStep(seed)
-			switched += f.switched.Load()
-		})
-	}
-	if switched < int64(seeds) {
-		t.Errorf("%d switches in %d runs: too few to test the switch", switched, seeds)
-	}
+	checkSeeds(t, size, unfenced, seeds, func(f *testFleet, seed uint64) {
+		f.g.Late = late
+		f.runWithAgentsDown(seed, 40*time.Second)
+	})
 }
 
 // runWithAgentsDown runs one coordinator after the other for random times. The agents of about half of the ranks are down,
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -2,43 +2,23 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
+
+	"github.com/camphorbank/camphorbank/test/harness"
 )
 
 const (
 	// unreadBodyBytes is more than the kernel buffers of a connection to a peer that does not read.
 	unreadBodyBytes = 32 << 20
-	// smallReceiveBuffer is the receive buffer of a target in bytes.
-	smallReceiveBuffer = 8 << 10
 	// resetDelay is the time between the answer of a target and its reset of the connection.
 	resetDelay = 20 * time.Millisecond
 )
 
-// listenSmall listens with a small receive buffer.
-func listenSmall(t *testing.T) net.Listener {
-	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-		})
-		return errors.Join(err, failed)
-	}}
-	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	return l
-}
-
 // TestResetWhileRequestIsSent guards against an answer that ends with its connection and counts as complete although the
 // connection was reset. The target answers before it has read the body of the request. The write of the body then gets the
 // error of the connection, so that the read of the answer sees an end in order.
@@ -57,7 +37,11 @@
 		"whole by its length":   {"HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := listenSmall(t)
+			l, err := harness.ListenWithSmallWindow(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
 			go answerAndReset(l, c.head+part)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
