node: keep an entry below half of its memory while everything around it is hostile

Cause: with the budget for bodies, an entry that serves 50 callers with bodies of 4 MB, while all targets send bytes without end, still came to 137 MB of the 184 MB of the smallest VM: garbage collections let the heap grow to twice of what is in use.

Change: the bodies may hold a fifth of the memory instead of a quarter, and the Go runtime keeps below 35 in 100 of it instead of 80. Below that the pace of collections is as before, so calm processes (12 to 20 MB) do not change.

--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -40,9 +40,9 @@
 const (
 	// bodyMemoryShare is the share of the memory for the bodies of requests in progress. Connections, answers that are buffered
 	// and the rest of the process need the other part.
-	bodyMemoryShare = 0.25
+	bodyMemoryShare = 0.2
 	// heapMemoryShare is the share of the memory from which on the Go runtime collects garbage at any cost in processor time.
-	heapMemoryShare = 0.8
+	heapMemoryShare = 0.35
 )
 
 // bodyBudget returns the budget for the bodies of requests, or nil if the memory is not stated.
