soak: engines whose answers have no end, and the memory of all processes

The soak had endless answers of targets, but none of engines, and no bound on memory. Engines now answer one in 20 calls with each kind of answer without end while a fault of its own is in force, and each process has to stay below half of 152 MB.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -22,6 +22,9 @@
 	shiftInterval = 600 * time.Millisecond
 	// lateOrderShare is the share of orders that are carried out late while lateOrders is in force.
 	lateOrderShare = 0.35
+	// endlessPeriod is the number of calls to engines of which one gets an answer without end while endlessEngineAnswers is in
+	// force.
+	endlessPeriod = 20
 )
 
 // fault is one kind of fault or operator action. Its function do starts the fault, waits and ends it, on a goroutine
@@ -55,6 +58,7 @@
 	{"configuration", true, func(w *system, _ *rand.Rand) { w.publish() }},
 	{"restore store", false, (*system).restoreStore},
 	{"leave by answers", true, (*system).leaveByAnswers},
+	{"endless engine answers", false, (*system).endlessEngineAnswers},
 }
 
 // injectFaults starts faults until ctx ends, and returns when all have ended.
@@ -316,3 +320,11 @@
 	time.Sleep(randomFaultTime(rng))
 	w.group.SetLateShare(0)
 }
+
+// endlessEngineAnswers makes the engines answer some calls with bytes without end.
+func (w *system) endlessEngineAnswers(rng *rand.Rand) {
+	defer w.recorder.beginFault("endless engine answers", false)()
+	w.endlessEngines.Add(1)
+	time.Sleep(randomFaultTime(rng))
+	w.endlessEngines.Add(-1)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -121,6 +122,7 @@
 	stop()
 	load.Wait()
 	w.checkGroup()
+	w.checkMemory()
 	for _, f := range w.recorder.checkAll() {
 		t.Error(f)
 	}
@@ -164,6 +166,38 @@
 	}
 }
 
+// checkMemory checks that no process has come near the memory of its VM.
+func (w *system) checkMemory() {
+	for _, n := range w.nodes() {
+		n.mu.Lock()
+		pid := n.process.PID()
+		n.mu.Unlock()
+		if mb := peakMemoryMB(w.t, pid); mb > nodeMemoryMB/2 {
+			w.t.Errorf("%s: %d MB resident, want at most half of %d MB", n.name, mb, nodeMemoryMB)
+		}
+	}
+}
+
+// nodeMemoryMB is the memory of the VM of each process in megabytes.
+const nodeMemoryMB = 152
+
+// peakMemoryMB returns the largest resident memory that a process has had.
+func peakMemoryMB(t *testing.T, pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	kb := 0
+	if _, rest, ok := strings.Cut(string(data), "VmHWM:"); ok {
+		_, err = fmt.Sscan(rest, &kb)
+	}
+	if err != nil || kb == 0 {
+		t.Errorf("no resident memory in the status of process %d", pid)
+	}
+	return kb >> 10
+}
+
 func (w *system) summary() {
 	served, refused, broken := 0, 0, 0
 	w.recorder.locked(func() {
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -105,6 +105,8 @@
 	groupBusy   sync.Mutex // held while the group is broken
 	config      string     // last published configuration; guarded by mu
 
+	endlessEngines atomic.Int32 // faults in force that make engines answer some calls without end
+
 	crashPart   atomic.Pointer[string] // id of the part that crashes engines, nil before there is one
 	partIsSent  atomic.Bool            // clients put crashPart into a share of their prompts
 	chatRunning atomic.Int32           // engines of the service chat that have not crashed
@@ -220,6 +222,8 @@
 bootstrap = %v
 app = %q
 %s
+[limits]
+memory_mb = %d
 [bounds]
 drain_ms = %d
 grace_s = %g
@@ -230,7 +234,7 @@
 fencing_enforced = %v
 [platform]
 address = %q
-`, e.name, serves, port, port, seeds, first, e.engine, listen, drainBound.Milliseconds(), graceBound.Seconds(),
+`, e.name, serves, port, port, seeds, first, e.engine, listen, nodeMemoryMB, drainBound.Milliseconds(), graceBound.Seconds(),
 		applyBound.Milliseconds(), retryShare, retrySlack, retryWindow.Seconds(), !w.group.Unfenced, w.storeOf(e))
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/camphorbank/camphorbank/test/faultproxy"
+	"github.com/camphorbank/camphorbank/test/standin/endless"
 	"github.com/camphorbank/camphorbank/test/standin/expertgroup"
 	"github.com/camphorbank/camphorbank/test/standin/target"
 )
@@ -188,7 +190,7 @@
 	case m == resetting:
 		return target.Reset()(c, a)
 	case m == endlessHead:
-		return r.sendEndlessHead(c)
+		return sendEndless(c, endless.Answer{Start: "HTTP/1.1 200 OK\r\n", Again: "X-More: a\r\n"})
 	case r.service != "desk":
 		return r.answerStream(c, a, m, resume)
 	case m == truncating:
@@ -209,6 +211,9 @@
 	if r.rank == nil {
 		return target.Answer(http.StatusNotFound, "")(c, a)
 	}
+	if r.system.endlessEngines.Load() > 0 && rand.IntN(endlessPeriod) == 0 {
+		return sendEndless(c, endless.Answers[rand.IntN(len(endless.Answers))])
+	}
 	ctx, stop := context.WithTimeout(context.Background(), engineCallTimeout)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, a.Method, a.URI, strings.NewReader(a.Body))
@@ -238,11 +243,11 @@
 // leavingHeader is the header of the answers of a target that leaves.
 const leavingHeader = "Server-Leaving"
 
-// sendEndlessHead sends header lines until the connection is closed.
-func (r *proxiedTarget) sendEndlessHead(c net.Conn) bool {
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-	for err == nil {
-		_, err = io.WriteString(c, "X-More: a\r\n")
+// sendEndless sends an answer without end until the connection is closed.
+func sendEndless(c net.Conn, a endless.Answer) bool {
+	_, err := io.WriteString(c, a.Start)
+	for again := strings.Repeat(a.Again, 1+4096/len(a.Again)); err == nil; {
+		_, err = io.WriteString(c, again)
 	}
 	return false
 }
