rankgroup: reports may be twice as old as their stated lag

Cause: the platform calls the lag of a report "some hundred ms". Engines that take samples at intervals of the lag hand out reports of up to twice that age, and a new term that waited for the lag and 50 ms could still believe one of before its fencing numbers.

Change: a new term waits for twice the stated lag and 50 ms.

--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -1,6 +1,7 @@
 package rankgroup
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,8 +17,9 @@
 	shape          expertgroup.Shape
 	slotsPerRank   int
 	bytesPerSecond int // of the link of each VM; 0 for no limit
-	// reportLag is the age of the status that an engine reports to a process on another VM.
-	reportLag time.Duration
+	// reportLag is the age of the status that an engine reports to a process on another VM, and statedLag the one that the
+	// configuration states, if it is another one.
+	reportLag, statedLag time.Duration
 }
 
 // smallSize is the size of a small group of engines in use, largeSize that of a large one.
@@ -37,7 +39,7 @@
 // engine returns the properties of the engines of the group.
 func (s testSize) engine() *routetable.Engine {
 	const linkBandwidth = 100e9 // bits per second
-	return &routetable.Engine{ReportLag: s.reportLag, Experts: routetable.Experts{
+	return &routetable.Engine{ReportLag: cmp.Or(s.statedLag, s.reportLag), Experts: routetable.Experts{
 		Layers: s.shape.Layers, Count: s.shape.Experts, SlotsPerRank: s.slotsPerRank, NewPerLayer: 2,
 		ExpertBytes: linkBandwidth / 8 * expertLoadTime.Seconds(), LinkBandwidth: linkBandwidth,
 	}}
--- a/internal/rankgroup/lag.go
+++ b/internal/rankgroup/lag.go
@@ -9,19 +9,22 @@
 const (
 	// defaultReportLag is the report lag of engines whose configuration does not state it.
 	defaultReportLag = 500 * time.Millisecond
-	// reportLagMargin is added to the report lag, since engines take their samples at intervals.
+	// reportLagFactor and reportLagMargin bound the age of a report, given the stated lag. The lag is approximate: engines may
+	// take samples at intervals of that length, and the answer needs time itself.
+	reportLagFactor = 2
 	reportLagMargin = 50 * time.Millisecond
 	// maxLagPause limits the time between two readings while a coordinator waits for newer reports. Other ranks take over
 	// the group if they are not read for a longer time.
 	maxLagPause = 500 * time.Millisecond
 )
 
-// reportLag returns the greatest age of the status of a lagged rank.
-func (c *Coordinator) reportLag() time.Duration {
-	if c.engine == nil || c.engine.ReportLag <= 0 {
-		return defaultReportLag + reportLagMargin
+// maxReportAge returns the greatest age of the status of a lagged rank.
+func (c *Coordinator) maxReportAge() time.Duration {
+	lag := defaultReportLag
+	if c.engine != nil && c.engine.ReportLag > 0 {
+		lag = c.engine.ReportLag
 	}
-	return c.engine.ReportLag + reportLagMargin
+	return reportLagFactor*lag + reportLagMargin
 }
 
 // readSince reads all ranks until every status is of a time after start. It reports whether all ranks answered and the
@@ -32,7 +35,7 @@
 		if !c.readAll(ctx) {
 			return false
 		}
-		wait := c.reportLag() - asked.Sub(start)
+		wait := c.maxReportAge() - asked.Sub(start)
 		if wait <= 0 || !slices.Contains(c.lagged, true) {
 			return true
 		}
