--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -17,7 +17,7 @@
 const (
 	// maxQueuedLines is the capacity of the queue of formatted lines. Lines beyond it are dropped and counted.
 	maxQueuedLines = 2048
-	// closeTimeout bounds the wait for the writer at the end. The reader of the lines may have stopped to read.
+	// closeTimeout bounds the wait for the writer at the end. The reader of the lines may have stopped reading.
 	closeTimeout = 500 * time.Millisecond
 )
 
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// notifyAnswers reports the ranks that have stopped or begun to answer since the reading before.
+// notifyAnswers reports the ranks that have stopped or begun answering since the reading before.
 func (c *Coordinator) notifyAnswers(before []bool, failures []error) {
 	for rank, answered := range c.answered {
 		switch {
--- a/test/standin/endless/endless.go
+++ b/test/standin/endless/endless.go
@@ -83,7 +83,7 @@
 	s.most = max(s.most, total)
 }
 
-// Close stops to accept connections and waits until the clients have closed theirs. It returns the most bytes that a
+// Close stops accepting connections and waits until the clients have closed theirs. It returns the most bytes that a
 // connection took, with those in the buffers of the kernel.
 func (s *Server) Close() int {
 	_ = s.listener.Close()
