--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,7 +42,11 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{9308, "bytes without end that begin like an answer to an order: a step with two maps"},
+	{9323, "the same"},
+	{9344, "the same"},
+}
 
 var programs struct {
 	sync.Once
