rankgroup: log what a new term has found

The record of the incident can't tell an old report from an order that was carried out late or from a version that was used twice: a coordinator that recovers without a failure logged neither what it read, from where, nor how the ranks answered the new fencing number. group event=recovery states all of it in one line for each term.

--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -197,6 +197,8 @@
 		switch e.Kind {
 		case rankgroup.EventRankSilent, rankgroup.EventRankAnswers:
 			f["rank"] = e.Rank
+		case rankgroup.EventRecovery:
+			f["found"] = e.Recovery.String()
 		case rankgroup.EventReportsLagged:
 			f["rank"], f["wait"] = e.Rank, e.Took
 		}
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -54,6 +54,7 @@
 	EventSwitched      EventKind = "switched" // all ranks have confirmed a map for one step
 	EventSwitchFailed  EventKind = "switch-failed"
 	EventRecoverFailed EventKind = "recover-failed" // a rank did not accept the new term
+	EventRecovery      EventKind = "recovery"       // what a new term has found
 	EventReportsLagged EventKind = "reports-lagged" // the ranks are read again, since reports were older than the term
 	EventRankSilent    EventKind = "rank-silent"    // a rank that answered readings no longer does
 	EventRankAnswers   EventKind = "rank-answers"   // a silent rank answers again
@@ -72,7 +73,9 @@
 	Before  float64 // imbalance before the switch
 	After   float64 // expected imbalance after the switch
 	Took    time.Duration
-	Err     error
+	// Recovery is set for EventRecovery only.
+	Recovery *Recovery
+	Err      error
 }
 
 const (
