--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -29,7 +29,7 @@
 func newTestFleet(t *testing.T, seed uint64, size testSize) *testFleet {
 	g := expertgroup.New(rand.New(rand.NewPCG(seed, 1)), size.shape)
 	g.Trace = func(string, ...any) {}
-	f := &testFleet{t: t, size: size, g: g, agents: newAgents(g), history: &statusHistory{g: g, lag: size.reportLag}}
+	f := &testFleet{t: t, size: size, g: g, agents: newAgents(g), history: newStatusHistory(g, size, seed)}
 	if size.bytesPerSecond > 0 {
 		for range g.Ranks {
 			f.links = append(f.links, &testLink{bytesPerSecond: size.bytesPerSecond})
--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	// reportLag is the age of the status that an engine reports to a process on another VM, and statedLag the one that the
 	// configuration states, if it is another one.
 	reportLag, statedLag time.Duration
+	anyAge               bool // reports to other VMs are of any age up to reportLag
 }
 
 // smallSize is the size of a small group of engines in use, largeSize that of a large one.
@@ -99,13 +101,19 @@
 
 // statusHistory holds what the engines report to processes on other VMs.
 type statusHistory struct {
-	g   *expertgroup.Group
-	lag time.Duration
+	g      *expertgroup.Group
+	lag    time.Duration
+	anyAge bool       // the age of each report is drawn from 0 to lag
+	rng    *rand.Rand // guarded by mu
 
 	mu      sync.Mutex
 	samples [][]Status // by time, then by rank
 }
 
+func newStatusHistory(g *expertgroup.Group, size testSize, seed uint64) *statusHistory {
+	return &statusHistory{g: g, lag: size.reportLag, anyAge: size.anyAge, rng: rand.New(rand.NewPCG(seed, 9))}
+}
+
 // run samples the status of all ranks until ctx ends.
 func (h *statusHistory) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -135,6 +143,9 @@
 	if len(h.samples) == 0 {
 		return r.present(), nil
 	}
+	if h.anyAge {
+		return h.samples[h.rng.IntN(len(h.samples))][rank], nil
+	}
 	return h.samples[0][rank], nil
 }
 
