rankgroup: no version of a map is used by two terms

A coordinator derived the version of its first map from the versions that the ranks report. Engines report a map only once it is loaded, so a restarted coordinator could give the number of a map that some rank was still loading for the former one to another map. An engine that refuses the number makes the change fail; one that takes the repeated number for a repeated order would arm the old content under it, and ranks do not compare maps.

Versions now start above term * 4096, as fencing numbers do, and a coordinator that meets a version of a later term starts a new one.

TestVersionOfEarlierTermIsNotUsedAgain failed before: versions of the maps to load: [1 1 1 1 3 3 3 3 ...]; version 1 is being loaded for an earlier coordinator.

--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -105,7 +105,7 @@
 	urgent       bool    // the next round must start without a delay, since the group may be held
 
 	epoch      int64
-	version    int64 // highest version that any rank has had
+	version    int64 // highest version that any rank has had or that belongs to an earlier term
 	loading    int64 // version of the map that this coordinator has last ordered the ranks to load
 	currentMap port.ExpertMap
 	mapKnown   bool     // currentMap is the map in use
@@ -173,7 +173,7 @@
 			return
 		}
 	}
-	if c.needsNewTerm || c.hasLeftover() {
+	if c.needsNewTerm || c.hasLeftover() || c.versionsSuperseded() {
 		if !c.recover(ctx) {
 			return
 		}
--- a/internal/rankgroup/recovery.go
+++ b/internal/rankgroup/recovery.go
@@ -24,6 +24,10 @@
 	if !c.readSince(ctx, termKnown) {
 		return false
 	}
+	if c.versionsSuperseded() {
+		c.needsNewTerm = true
+		return false
+	}
 	c.opt.Notify(Event{Kind: EventRecovery, Epoch: c.epoch, Recovery: c.recovery(results)})
 	if c.opt.Unfenced {
 		return c.undoUnfenced(ctx)
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -19,6 +19,9 @@
 	maxOrdersPerTerm = fencesPerTerm / FencesPerOrder
 	// fencesPerTerm is the number of fencing numbers of one term.
 	fencesPerTerm = 1 << 12
+	// versionsPerTerm is the number of map versions of one term. A version of an earlier term is not used again, since an engine
+	// does not report a map that it is still loading.
+	versionsPerTerm = fencesPerTerm
 	// termRankSlots is the number of ranks whose terms differ even if they start in the same millisecond. Only the
 	// lowest ranks that are alive ever coordinate.
 	termRankSlots = 16
@@ -37,10 +40,12 @@
 )
 
 // newTerm starts a term. Its number is above those of all terms that the coordinator has seen, and differs from those
-// of other ranks. Terms determine the fencing numbers of orders.
+// of other ranks. Terms determine the fencing numbers of orders and the versions of maps.
 func (c *Coordinator) newTerm() {
-	c.termMs = max(c.termMs+1, c.opt.Now().UnixMilli()-termEpochUnixMs)
+	seen := c.version / versionsPerTerm / termRankSlots
+	c.termMs = max(c.termMs+1, seen+1, c.opt.Now().UnixMilli()-termEpochUnixMs)
 	c.term = c.termMs*termRankSlots + int64(c.opt.Rank%termRankSlots)
+	c.version = c.term * versionsPerTerm
 	clear(c.orders)
 	c.needsNewTerm = false
 }
@@ -83,6 +88,9 @@
 
 func resultsError(results []OrderResult) error { return fmt.Errorf("%w: %v", errNotAllDone, results) }
 
+// versionsSuperseded reports whether a rank has had a version of a later term than this one.
+func (c *Coordinator) versionsSuperseded() bool { return c.version/versionsPerTerm > c.term }
+
 // useNextVersion chooses the version of the next map that this coordinator loads.
 func (c *Coordinator) useNextVersion() {
 	c.version++
