rankgroup: a recovery decides on accepted orders, not on the age of reports

Cause: the first process that is up again reads the engines of ranks whose processes are still down over the network, where reports are old. With engines that ignore fencing numbers old reports made a finished switch seem to take place still, and the hold of the next one was released for it.

A report from another VM now only says what to cancel. The coordinator holds its own rank before the very next step, orders all ranks to disarm every version that one may be armed with, and releases the hold after all of these orders have been accepted. The order that carries a new fencing number counts only if it was accepted.

--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -199,8 +199,6 @@
 			f["rank"] = e.Rank
 		case rankgroup.EventRecovery:
 			f["found"] = e.Recovery.String()
-		case rankgroup.EventReportsLagged:
-			f["rank"], f["wait"] = e.Rank, e.Took
 		}
 		if e.Err != nil {
 			f["error"] = e.Err.Error()
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -55,7 +55,6 @@
 	EventSwitchFailed  EventKind = "switch-failed"
 	EventRecoverFailed EventKind = "recover-failed" // a rank did not accept the new term
 	EventRecovery      EventKind = "recovery"       // what a new term has found
-	EventReportsLagged EventKind = "reports-lagged" // the ranks are read again, since reports were older than the term
 	EventRankSilent    EventKind = "rank-silent"    // a rank that answered readings no longer does
 	EventRankAnswers   EventKind = "rank-answers"   // a silent rank answers again
 	EventDisarmFailed  EventKind = "disarm-failed"  // an armed map could not be cancelled, and the group stays held
@@ -349,7 +348,21 @@
 
 // hasLeftover reports whether a rank is held or armed although no switch is in progress.
 func (c *Coordinator) hasLeftover() bool {
-	return slices.ContainsFunc(c.status, func(s Status) bool { return s.Held != nil || s.Armed != 0 })
+	for rank, s := range c.status {
+		if s.Held != nil || c.armedVersion(rank) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// armedVersion returns the version that a rank is armed with, or 0 if it is not armed. All ranks switch at the same step, so a rank
+// that was read as armed with the map that the own rank uses was read before that step.
+func (c *Coordinator) armedVersion(rank int) int64 {
+	if v := c.status[rank].Armed; v > c.status[c.opt.Rank].Map {
+		return v
+	}
+	return 0
 }
 
 // learnMap reads the map in use from the ranks if it is not known. It reports whether the map is known.
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -230,20 +230,33 @@
 	return step, nil
 }
 
-// hold holds the coordinator's own rank before a step that the group has not begun, and returns that step. The group
-// keeps stepping meanwhile: if the hold comes too late for a step, the engine refuses it, and a later step is tried.
+// hold holds the coordinator's own rank before the step of a switch to the loaded map, and returns that step.
 func (c *Coordinator) hold(ctx context.Context) (int64, error) {
+	lead := c.leadSteps()
+	return c.holdBefore(ctx, func(s Status) (int64, error) {
+		if s.Prepared != c.loading || s.Epoch != c.epoch {
+			return 0, errSuperseded
+		}
+		step := s.Step + lead
+		lead++ // a later step after a refusal
+		return step, nil
+	})
+}
+
+// holdBefore holds the coordinator's own rank before a step that the group has not begun, and returns that step. choose returns it
+// for a status of the own rank. The group keeps stepping meanwhile: if the hold comes too late for a step, the engine refuses it,
+// and choose is called again.
+func (c *Coordinator) holdBefore(ctx context.Context, choose func(Status) (int64, error)) (int64, error) {
 	step := int64(0)
-	for attempt := range int64(maxHoldAttempts) {
+	for range maxHoldAttempts {
 		status, err := c.readOwn(ctx)
 		if err != nil {
 			return step, err
 		}
-		if status.Prepared != c.loading || status.Epoch != c.epoch {
-			return step, errSuperseded
+		if step, err = choose(status); err != nil {
+			return step, err
 		}
 		c.status[c.opt.Rank] = status
-		step = status.Step + c.leadSteps() + attempt
 		switch r := c.order(ctx, c.opt.Rank, Order{Op: OpHold, Step: step}, armTimeout); r {
 		case ResultDone:
 			return step, nil
--- a/internal/rankgroup/unfenced.go
+++ b/internal/rankgroup/unfenced.go
@@ -51,8 +51,8 @@
 // highestArmed returns the highest version that a rank is armed with, or 0 if none is armed.
 func (c *Coordinator) highestArmed() int64 {
 	version := int64(0)
-	for _, s := range c.status {
-		version = max(version, s.Armed)
+	for rank := range c.status {
+		version = max(version, c.armedVersion(rank))
 	}
 	return version
 }
@@ -65,9 +65,15 @@
 // consistentWith reports whether the ranks were all read before the switch to the highest armed version, which is 0 if
 // none is armed. The ranks are read at slightly different times, and another coordinator may act meanwhile.
 func (c *Coordinator) consistentWith(armed int64) bool {
-	return armed == 0 || !slices.ContainsFunc(c.status, func(s Status) bool {
-		return s.Map >= armed || s.Armed != 0 && s.Armed != armed
-	})
+	if armed == 0 {
+		return true
+	}
+	for rank, s := range c.status {
+		if v := c.armedVersion(rank); s.Map >= armed || v != 0 && v != armed {
+			return false
+		}
+	}
+	return true
 }
 
 // cancelSwitch makes the ranks that are not armed load a newer version of the map in use, then disarms the others and
@@ -94,8 +100,8 @@
 // refusesArming reports whether a rank that was read as not armed has loaded a newer version, by the results of the orders
 // to do so. The order was refused if the rank was armed since it was read.
 func (c *Coordinator) refusesArming(results []OrderResult) bool {
-	for rank, s := range c.status {
-		if s.Armed == 0 && results[rank] == ResultDone {
+	for rank := range c.status {
+		if c.armedVersion(rank) == 0 && results[rank] == ResultDone {
 			return true
 		}
 	}
--- a/internal/routetable/config.go
+++ b/internal/routetable/config.go
@@ -69,7 +69,6 @@
 	PrefillRate       float64       `json:"read_rate"`     // prompt tokens processed per second
 	PerMillionPairs   time.Duration `json:"per_pairs"`     // added by each million pairs of a prompt token and an earlier one
 	Chunk             int           `json:"chunk"`         // largest number of prompt tokens processed in one step
-	ReportLag         time.Duration `json:"report_lag"`    // age of the status that an engine reports to another VM; 0 if unstated
 	Experts           Experts       `json:"experts"`
 }
 
