rankgroup: attempts of orders are paced by the answers of the engine

Groups are held while orders go unanswered: each attempt of an order to hold or to arm a rank was waited for 60 ms, although engines that answer at all do so within a few ms. An attempt is now given up after four times the longest of the latest answers, 10 to 60 ms, doubled after every second attempt, so that an engine that has become slow is still waited for.

--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -8,12 +8,8 @@
 	"time"
 )
 
-const (
-	// orderTimeout limits the wait for the answer to one attempt of an order. The engine is on the same VM.
-	orderTimeout = 60 * time.Millisecond
-	// maxAttempts limits the attempts of one order. Each attempt uses its own fencing number.
-	maxAttempts = FencesPerOrder
-)
+// maxAttempts limits the attempts of one order. Each attempt uses its own fencing number.
+const maxAttempts = FencesPerOrder
 
 // FencesPerOrder is the number of consecutive fencing numbers reserved for one order, from OrderRequest.Fence on.
 const FencesPerOrder = 16
@@ -26,6 +22,7 @@
 
 	mu          sync.Mutex
 	fence       int64 // highest fencing number of an order so far
+	pace        attemptPace
 	snapshot    int64 // number of the latest snapshot of the counts
 	counts      []int64
 	engineStart int64               // Status.StartedAtMs at the time of the snapshot
@@ -164,7 +161,7 @@
 		if !a.raiseFence(o.Fence) {
 			return OrderReply{ResultFenced}, nil
 		}
-		switch err := a.sendOnce(ctx, o); {
+		switch err := a.sendOnce(ctx, o, i); {
 		case err == nil:
 			if r.Map != nil {
 				a.storeMap(r)
@@ -215,9 +212,19 @@
 	return true
 }
 
-// sendOnce makes one attempt to send an order.
-func (a *Agent) sendOnce(ctx context.Context, o Order) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+// sendOnce makes one attempt to send an order, which attempts before it have not been answered.
+func (a *Agent) sendOnce(ctx context.Context, o Order, before int64) error {
+	a.mu.Lock()
+	limit := a.pace.timeout(before)
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return a.engine.Order(ctx, o)
+	start := time.Now()
+	err := a.engine.Order(ctx, o)
+	if isAnswer(err) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.pace.observe(time.Since(start))
+	}
+	return err
 }
