rankgroup, platform: only reports that decide something have a connection of their own

A copy of an earlier report misleads only where a report ends a question, in a new term. These readings (Engine.PresentStatus) have a connection of their own; others keep one that carries nothing but reports.

--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -42,6 +42,7 @@
 	Coordinator  int   `json:"c"` // rank of the coordinator that sends the request
 	HaveSnapshot int64 `json:"h"` // number of the last snapshot that the coordinator has received; 0 for none
 	StatusOnly   bool  `json:"o"` // do not read the counts
+	Present      bool  `json:"p"` // the status decides what to order: read it with Engine.PresentStatus
 	Layers       int   `json:"l"` // number of layers of the counts
 }
 
@@ -64,7 +65,7 @@
 	a.mu.Lock()
 	a.lastReads[r.Coordinator] = time.Now()
 	a.mu.Unlock()
-	s, err := a.engine.Status(ctx)
+	s, err := a.status(ctx, r.Present)
 	if err != nil || r.StatusOnly {
 		return ReadReply{Status: s}, err
 	}
@@ -84,6 +85,13 @@
 	return out, nil
 }
 
+func (a *Agent) status(ctx context.Context, present bool) (Status, error) {
+	if present {
+		return a.engine.PresentStatus(ctx)
+	}
+	return a.engine.Status(ctx)
+}
+
 // Experts returns the experts that the engine holds, by layer. It fails after readTimeout.
 func (a *Agent) Experts(ctx context.Context) ([][]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/rankgroup/branch.go
+++ b/internal/rankgroup/branch.go
@@ -62,40 +62,47 @@
 	sums      [][]float64 // growth of the counts, added up over the ranks of each relayed branch; nil for other branches
 }
 
+// readKind says what to read from the ranks.
+type readKind struct {
+	statusOnly bool // without the counts, which take most of the bytes
+	present    bool // see ReadRequest.Present
+}
+
 // readBranches reads all ranks. It updates c.answered.
-func (c *Coordinator) readBranches(ctx context.Context, statusOnly bool) reading {
+func (c *Coordinator) readBranches(ctx context.Context, kind readKind) reading {
 	out := reading{replies: make([]ReadReply, c.opt.Size), failures: make([]error, c.opt.Size), malformed: make([]error, c.opt.Size),
 		sums: make([][]float64, len(c.branches))}
 	forEach(len(c.branches), func(i int) {
 		b := c.branches[i]
 		if b.relay >= 0 {
-			if c.readThroughRelay(ctx, b, statusOnly, &out, i) {
+			if c.readThroughRelay(ctx, b, kind, &out, i) {
 				return
 			}
 			b.useNextRelay()
 		}
-		forEach(len(b.ranks), func(k int) { c.readDirectly(ctx, b.ranks[k], statusOnly, &out) })
+		forEach(len(b.ranks), func(k int) { c.readDirectly(ctx, b.ranks[k], kind, &out) })
 	})
 	return out
 }
 
 // readDirectly reads one rank.
-func (c *Coordinator) readDirectly(ctx context.Context, rank int, statusOnly bool, out *reading) {
+func (c *Coordinator) readDirectly(ctx context.Context, rank int, kind readKind, out *reading) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, HaveSnapshot: c.snapshots[rank], StatusOnly: statusOnly,
-		Layers: c.layers()})
+	reply, err := c.opt.Ranks.Read(ctx, rank, ReadRequest{Coordinator: c.opt.Rank, HaveSnapshot: c.snapshots[rank],
+		StatusOnly: kind.statusOnly, Present: kind.present, Layers: c.layers()})
 	c.answered[rank] = err == nil
 	out.failures[rank] = err
 	out.replies[rank] = reply
 }
 
 // readThroughRelay reads the ranks of the i-th branch through its relay. It returns false if the relay did not answer.
-func (c *Coordinator) readThroughRelay(ctx context.Context, b *branch, statusOnly bool, out *reading, i int) bool {
+func (c *Coordinator) readThroughRelay(ctx context.Context, b *branch, kind readKind, out *reading, i int) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	request := BranchReadRequest{Ranks: b.ranks, Coordinator: c.opt.Rank, StatusOnly: statusOnly, Layers: c.layers(), Experts: c.experts()}
-	if !statusOnly {
+	request := BranchReadRequest{Ranks: b.ranks, Coordinator: c.opt.Rank, StatusOnly: kind.statusOnly, Present: kind.present,
+		Layers: c.layers(), Experts: c.experts()}
+	if !kind.statusOnly {
 		for _, rank := range b.ranks {
 			request.HaveSnapshots = append(request.HaveSnapshots, c.snapshots[rank])
 		}
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -188,17 +188,24 @@
 }
 
 // readAll reads the status and the counts of all ranks. It reports whether all answered and the group is open.
-func (c *Coordinator) readAll(ctx context.Context) bool { return c.read(ctx, false) }
+func (c *Coordinator) readAll(ctx context.Context) bool { return c.read(ctx, readKind{}) }
 
-// readStatuses reads all ranks without the counts, which take most of the bytes. It returns the same as readAll.
-func (c *Coordinator) readStatuses(ctx context.Context) bool { return c.read(ctx, true) }
+// readPresent does the same on connections that cannot bring an earlier status.
+func (c *Coordinator) readPresent(ctx context.Context) bool {
+	return c.read(ctx, readKind{present: true})
+}
+
+// readStatuses reads all ranks without the counts. It returns the same as readAll.
+func (c *Coordinator) readStatuses(ctx context.Context) bool {
+	return c.read(ctx, readKind{statusOnly: true})
+}
 
-func (c *Coordinator) read(ctx context.Context, statusOnly bool) bool {
+func (c *Coordinator) read(ctx context.Context, kind readKind) bool {
 	c.engine = c.opt.Engine()
 	before := slices.Clone(c.answered)
-	r := c.readBranches(ctx, statusOnly)
+	r := c.readBranches(ctx, kind)
 	c.notifyAnswers(before, r.failures)
-	c.applyReading(r, c.opt.Now(), statusOnly)
+	c.applyReading(r, c.opt.Now(), kind.statusOnly)
 	c.opt.SendReport(c.report())
 	return c.allOpen()
 }
@@ -319,7 +326,7 @@
 func (c *Coordinator) awaitSwitch(ctx context.Context) {
 	for end := c.opt.Now().Add(maxSwitchWait); ctx.Err() == nil && c.opt.Now().Before(end); {
 		c.sleep(ctx, switchPollInterval)
-		if s, err := c.readOwn(ctx); err == nil && (s.Map == c.pending || s.Epoch != c.epoch) {
+		if s, err := c.readOwn(ctx, readKind{}); err == nil && (s.Map == c.pending || s.Epoch != c.epoch) {
 			return
 		}
 	}
--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -30,7 +30,8 @@
 func newTestFleet(t *testing.T, seed uint64, size testSize) *testFleet {
 	g := expertgroup.New(rand.New(rand.NewPCG(seed, 1)), size.shape)
 	g.Trace = func(string, ...any) {}
-	f := &testFleet{t: t, size: size, g: g, agents: newAgents(g), history: newStatusHistory(g, size, seed)}
+	f := &testFleet{t: t, size: size, g: g, history: newStatusHistory(g, size, seed)}
+	f.restartAgents()
 	if size.bytesPerSecond > 0 {
 		for range g.Ranks {
 			f.links = append(f.links, &testLink{bytesPerSecond: size.bytesPerSecond})
@@ -43,7 +44,14 @@
 func (f *testFleet) restartAgents() {
 	f.agentsMu.Lock()
 	defer f.agentsMu.Unlock()
-	f.agents = newAgents(f.g)
+	f.agents = nil
+	for _, r := range f.g.Ranks {
+		var e Engine = testRank{r}
+		if f.size.copiesReports {
+			e = &copyingRank{testRank: testRank{r}}
+		}
+		f.agents = append(f.agents, NewAgent(e, time.Now().UnixNano()))
+	}
 }
 
 func (f *testFleet) currentAgents() []*Agent {
@@ -123,6 +131,14 @@
 	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, false, 12, 4) })
 }
 
+// TestNoStepWithTwoMapsFromCopiesOfReports guards against a new term that decides on an earlier report of an engine, which the
+// engine has sent once more when the present one was due.
+func TestNoStepWithTwoMapsFromCopiesOfReports(t *testing.T) {
+	size := smallSize
+	size.copiesReports = true
+	checkNoStepWithTwoMaps(t, size, false, 20, 8)
+}
+
 // TestNoStepWithTwoMapsUnfenced guards against the same with engines that ignore fencing numbers.
 func TestNoStepWithTwoMapsUnfenced(t *testing.T) {
 	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) })
--- a/internal/rankgroup/engine.go
+++ b/internal/rankgroup/engine.go
@@ -97,7 +97,10 @@
 
 // Engine gives access to the engine of one rank.
 type Engine interface {
+	// Status may return an earlier status if the engine has sent it once more, late. PresentStatus never does, and costs a
+	// connection.
 	Status(ctx context.Context) (Status, error)
+	PresentStatus(ctx context.Context) (Status, error)
 	Counts(ctx context.Context) (Counts, error)
 	// Experts returns the experts that the rank holds, by layer.
 	Experts(ctx context.Context) ([][]int, error)
--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -19,6 +19,7 @@
 	bytesPerSecond int           // of the link of each VM; 0 for no limit
 	reportLag      time.Duration // age of the status that an engine reports to a process on another VM
 	anyAge         bool          // reports to other VMs are of any age up to reportLag
+	copiesReports  bool          // see copyingRank
 }
 
 // smallSize is the size of a small group of engines in use, largeSize that of a large one.
@@ -54,6 +55,32 @@
 	return r.present(), nil
 }
 
+// PresentStatus is the same as Status: the stand-in sends no answer twice.
+func (r testRank) PresentStatus(ctx context.Context) (Status, error) { return r.Status(ctx) }
+
+// copyPeriod is the number of calls of copyingRank.Status of which one returns a copy.
+const copyPeriod = 3
+
+// copyingRank is a testRank that sends some reports once more, late, so that they are taken for the answer to the next request on
+// the same connection.
+type copyingRank struct {
+	testRank
+	mu    sync.Mutex
+	calls int
+	last  Status
+}
+
+func (r *copyingRank) Status(ctx context.Context) (Status, error) {
+	s, err := r.testRank.Status(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls++; r.calls%copyPeriod == 0 {
+		return r.last, err
+	}
+	r.last = s
+	return s, err
+}
+
 // present returns the status of the rank at this moment.
 func (r testRank) present() Status {
 	s := r.Rank.Status()
@@ -250,11 +277,3 @@
 	}
 	return l
 }
-
-func newAgents(g *expertgroup.Group) []*Agent {
-	var out []*Agent
-	for _, r := range g.Ranks {
-		out = append(out, NewAgent(testRank{r}, time.Now().UnixNano()))
-	}
-	return out
-}
--- a/internal/rankgroup/recovery.go
+++ b/internal/rankgroup/recovery.go
@@ -9,8 +9,9 @@
 
 // A coordinator that starts knows nothing of the orders of an earlier one, and must not let the group begin a step while only some
 // ranks are armed for it. It relies on two kinds of evidence only: the answer of an engine to an order of its own term, and a
-// status that a process on the engine's own VM has read after the engine has accepted that term. A status that was read from
-// another VM (lagged) was true at some time in the past. It says which map versions to cancel, never that there is none.
+// status that a process on the engine's own VM has read after the engine has accepted that term, over a connection that cannot bring
+// an earlier one. A status that was read from another VM (lagged) was true at some time in the past. It says which map versions to
+// cancel, never that there is none.
 
 // recover makes sure that no order of an earlier term can still be carried out. It then cancels the armed maps and
 // holds that an earlier term left. It reports whether the group is ready for a change.
@@ -25,7 +26,7 @@
 		return false
 	}
 	c.divideRanks()
-	if !c.readAll(ctx) {
+	if !c.readPresent(ctx) {
 		return false
 	}
 	if c.versionsSuperseded() {
@@ -141,7 +142,7 @@
 			return false
 		}
 	}
-	s, err := c.readOwn(ctx)
+	s, err := c.readOwn(ctx, readKind{present: true})
 	*own = s
 	return err == nil && s.Epoch == c.epoch && s.Held != nil
 }
--- a/internal/rankgroup/relay.go
+++ b/internal/rankgroup/relay.go
@@ -14,6 +14,7 @@
 	Coordinator   int     `json:"c"` // rank of the coordinator that sends the request
 	HaveSnapshots []int64 `json:"h"` // by Ranks; see ReadRequest.HaveSnapshot
 	StatusOnly    bool    `json:"o"` // do not read the counts
+	Present       bool    `json:"p"` // see ReadRequest.Present
 	Layers        int     `json:"l"` // number of layers of the counts
 	Experts       int     `json:"x"` // number of experts in each layer of the counts
 }
@@ -78,7 +79,7 @@
 	out := BranchReadReply{Ranks: make([]BranchRank, len(r.Ranks))}
 	forEach(len(r.Ranks), func(i int) {
 		reply, err := y.Ranks.Read(ctx, r.Ranks[i], ReadRequest{Coordinator: r.Coordinator, HaveSnapshot: r.snapshot(i),
-			StatusOnly: r.StatusOnly, Layers: r.Layers})
+			StatusOnly: r.StatusOnly, Present: r.Present, Layers: r.Layers})
 		out.Ranks[i] = BranchRank{Answered: err == nil, Status: reply.Status.essential(), Number: reply.Number, Lagged: reply.Lagged}
 		replies[i] = reply
 	})
--- a/internal/rankgroup/switch.go
+++ b/internal/rankgroup/switch.go
@@ -249,7 +249,7 @@
 func (c *Coordinator) holdBefore(ctx context.Context, choose func(Status) (int64, error)) (int64, error) {
 	step := int64(0)
 	for range maxHoldAttempts {
-		status, err := c.readOwn(ctx)
+		status, err := c.readOwn(ctx, readKind{})
 		if err != nil {
 			return step, err
 		}
@@ -274,7 +274,7 @@
 	if !c.opt.Unfenced {
 		return nil
 	}
-	s, err := c.readOwn(ctx)
+	s, err := c.readOwn(ctx, readKind{})
 	if err != nil {
 		return err
 	}
@@ -303,16 +303,16 @@
 func (c *Coordinator) waitReadingOwn(ctx context.Context, d time.Duration) {
 	for end := c.opt.Now().Add(d); ctx.Err() == nil && c.opt.Now().Before(end); {
 		c.sleep(ctx, min(switchPollInterval, end.Sub(c.opt.Now())))
-		_, _ = c.readOwn(ctx) // a failure leaves the estimate as it is
+		_, _ = c.readOwn(ctx, readKind{}) // a failure leaves the estimate as it is
 	}
 }
 
 // readOwn reads the status of the coordinator's own rank.
-func (c *Coordinator) readOwn(ctx context.Context) (Status, error) {
+func (c *Coordinator) readOwn(ctx context.Context, kind readKind) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	start := c.opt.Now()
-	r, err := c.opt.Ranks.Read(ctx, c.opt.Rank, ReadRequest{Coordinator: c.opt.Rank, StatusOnly: true})
+	r, err := c.opt.Ranks.Read(ctx, c.opt.Rank, ReadRequest{Coordinator: c.opt.Rank, StatusOnly: true, Present: kind.present})
 	if err == nil {
 		c.clock.observe(r.Status.Step, start, c.opt.Now())
 	}
