rankgroup: failing test: a map without one of the experts, from old lists of experts

What callers see: no rank holds one of the experts. Cause: learnMap puts the map in use together from lists of all ranks, without regard to the version of the map that each list is of; lists from another VM may be of a time before the last switch. The engines in the tests report their experts to other VMs as late as their status now.

Whether engines report lists late to other VMs is not known.

--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -131,7 +131,13 @@
 	rng    *rand.Rand // guarded by mu
 
 	mu      sync.Mutex
-	samples [][]Status // by time, then by rank
+	samples []reportSample // by time
+}
+
+// reportSample is what all ranks report at one moment.
+type reportSample struct {
+	status  []Status  // by rank
+	experts [][][]int // by rank, then by layer
 }
 
 func newStatusHistory(g *expertgroup.Group, size testSize, seed uint64) *statusHistory {
@@ -141,9 +147,10 @@
 // run samples the status of all ranks until ctx ends.
 func (h *statusHistory) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := make([]Status, len(h.g.Ranks))
-		for rank, r := range h.g.Ranks {
-			now[rank] = testRank{r}.present()
+		var now reportSample
+		for _, r := range h.g.Ranks {
+			now.status = append(now.status, testRank{r}.present())
+			now.experts = append(now.experts, r.Experts())
 		}
 		h.mu.Lock()
 		h.samples = append(h.samples, now)
@@ -156,21 +163,38 @@
 // status returns the status that a rank reports to another VM.
 func (h *statusHistory) status(ctx context.Context, rank int) (Status, error) {
 	r := testRank{h.g.Ranks[rank]}
-	if h.lag == 0 {
-		return r.Status(ctx)
+	s, ok, err := h.sample(ctx, r)
+	if err != nil || !ok {
+		return r.present(), err
 	}
+	return s.status[rank], nil
+}
+
+// experts returns the experts that a rank reports to another VM.
+func (h *statusHistory) experts(ctx context.Context, rank int) ([][]int, error) {
+	r := testRank{h.g.Ranks[rank]}
+	s, ok, err := h.sample(ctx, r)
+	if err != nil || !ok {
+		return r.Rank.Experts(), err
+	}
+	return s.experts[rank], nil
+}
+
+// sample waits for the duration of a call of a rank, and returns the sample that it answers with. ok is false if it answers with
+// its present state.
+func (h *statusHistory) sample(ctx context.Context, r testRank) (s reportSample, ok bool, err error) {
 	if err := r.Wait(ctx); err != nil {
-		return Status{}, err
+		return s, false, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.samples) == 0 {
-		return r.present(), nil
-	}
-	if h.anyAge {
-		return h.samples[h.rng.IntN(len(h.samples))][rank], nil
+	switch {
+	case h.lag == 0 || len(h.samples) == 0:
+		return s, false, nil
+	case h.anyAge:
+		return h.samples[h.rng.IntN(len(h.samples))], true, nil
 	}
-	return h.samples[0][rank], nil
+	return h.samples[0], true, nil
 }
 
 // testLinks implements Ranks for the process beside the rank self, through the agents of the group.
@@ -240,6 +264,9 @@
 }
 
 func (l *testLinks) Experts(ctx context.Context, rank int) ([][]int, error) {
+	if rank != l.self && l.unreachable(rank) {
+		return l.history.experts(ctx, rank)
+	}
 	return testRank{l.g.Ranks[rank]}.Experts(ctx)
 }
 
