rankgroup: a coordinator notices that its switch was cancelled

A coordinator whose ranks were all armed waits for the step of the switch and gives up only on a hold, a later map or a new epoch. While it is suspended another one may take over and, since it reads rank 0 from another VM, disarm all ranks. The first one then waited for good, and the group kept its map. Its own rank, whose status is never lagged, tells: neither armed with the version nor using it.

--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -336,6 +336,9 @@
 // time. Nothing may be cancelled until then: the ranks are read at slightly different times, so that only some of them
 // may seem to be armed.
 func (c *Coordinator) checkPending() {
+	if own := c.status[c.opt.Rank]; own.Armed != c.pending && own.Map != c.pending {
+		c.needsNewTerm = true // another coordinator has cancelled the switch
+	}
 	inUse := 0
 	for _, s := range c.status {
 		if s.Map == c.pending {
