rankgroup: the map in use is put together from lists of one version only

A coordinator that starts reads which experts each rank holds. Lists that are read from another VM may be of a time before the last switch, so that the lists of two maps were put together, and the next map, planned from them, left out an expert. Every list must now be of the version that the own rank uses; otherwise the coordinator reads again. Processes of earlier releases answer without a version: restart the fleet as a whole.

--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -86,7 +86,9 @@
 	relay := rankgroup.Relay{Ranks: r, Knows: r.knowsRank}
 	server.Handle(methodReadBranch, peer.TypedHandler(relay.Read))
 	server.Handle(methodOrderBranch, peer.TypedHandler(relay.Order))
-	server.Handle(methodExperts, peer.TypedHandler(func(ctx context.Context, _ struct{}) ([][]int, error) { return r.agent.Experts(ctx) }))
+	server.Handle(methodExperts, peer.TypedHandler(func(ctx context.Context, _ struct{}) (rankgroup.HeldExperts, error) {
+		return r.agent.Experts(ctx)
+	}))
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() { _ = server.Serve(background, l) }() // ends with the process
--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -16,7 +16,9 @@
 func (stubEngine) Status(context.Context) (rankgroup.Status, error) {
 	return rankgroup.Status{Epoch: 3}, nil
 }
-func (stubEngine) Experts(context.Context) ([][]int, error)     { return [][]int{{1}}, nil }
+func (stubEngine) Experts(context.Context) (rankgroup.HeldExperts, error) {
+	return rankgroup.HeldExperts{ByLayer: [][]int{{1}}}, nil
+}
 func (stubEngine) Order(context.Context, rankgroup.Order) error { return nil }
 
 // TestSuspendedProcessOfRank guards against a group that stays held because the process beside one rank is suspended:
@@ -32,7 +34,7 @@
 	r.ranks[1] = fleet.Rank{Name: "other", Rank: 1, Control: l.Addr().String(), Engine: "e"}
 	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
 	defer cancel()
-	if experts, err := r.Experts(ctx, 1); err != nil || len(experts) != 1 {
+	if experts, err := r.Experts(ctx, 1); err != nil || len(experts.ByLayer) != 1 {
 		t.Errorf("experts %v, error %v", experts, err)
 	}
 	if reply, err := r.Read(t.Context(), 1, rankgroup.ReadRequest{}); err != nil || reply.Status.Epoch != 3 || !reply.Lagged {
--- a/internal/node/ranklink.go
+++ b/internal/node/ranklink.go
@@ -115,16 +115,16 @@
 	return a
 }
 
-// Experts returns the experts that a rank holds, by layer. It asks the process beside the rank first, then its engine.
-func (r *rank) Experts(ctx context.Context, i int) ([][]int, error) {
+// Experts returns the experts that a rank holds. It asks the process beside the rank first, then its engine.
+func (r *rank) Experts(ctx context.Context, i int) (rankgroup.HeldExperts, error) {
 	other, ok := r.findRank(i)
 	if !ok {
-		return nil, errUnknownRank
+		return rankgroup.HeldExperts{}, errUnknownRank
 	}
 	if other.Name == r.settings.Name {
 		return r.agent.Experts(ctx)
 	}
-	var out [][]int
+	var out rankgroup.HeldExperts
 	call, cancel := context.WithTimeout(ctx, agentTimeout)
 	defer cancel()
 	if !r.agentSilent(other.Control) {
--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -92,8 +92,8 @@
 	return a.engine.Status(ctx)
 }
 
-// Experts returns the experts that the engine holds, by layer. It fails after readTimeout.
-func (a *Agent) Experts(ctx context.Context) ([][]int, error) {
+// Experts returns the experts that the engine holds. It fails after readTimeout.
+func (a *Agent) Experts(ctx context.Context) (HeldExperts, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return a.engine.Experts(ctx)
--- a/internal/rankgroup/coordinator.go
+++ b/internal/rankgroup/coordinator.go
@@ -15,8 +15,8 @@
 type Ranks interface {
 	Read(ctx context.Context, rank int, r ReadRequest) (ReadReply, error)
 	Order(ctx context.Context, rank int, r OrderRequest) (OrderReply, error)
-	// Experts returns the experts that a rank holds, by layer.
-	Experts(ctx context.Context, rank int) ([][]int, error)
+	// Experts returns the experts that a rank holds.
+	Experts(ctx context.Context, rank int) (HeldExperts, error)
 	// ReadBranch and OrderBranch call the Relay of a rank. They fail if its agent does not answer.
 	ReadBranch(ctx context.Context, relay int, r BranchReadRequest) (BranchReadReply, error)
 	OrderBranch(ctx context.Context, relay int, r BranchOrderRequest) (BranchOrderReply, error)
@@ -375,27 +375,29 @@
 	return 0
 }
 
-// learnMap reads the map in use from the ranks if it is not known. It reports whether the map is known.
+// learnMap reads the map in use from the ranks if it is not known. It reports whether the map is known. The experts of a rank that
+// were read from another VM may be those of an earlier map, so all must be of the version that the own rank uses.
 func (c *Coordinator) learnMap(ctx context.Context) bool {
 	if c.mapKnown {
 		return true
 	}
-	lists := make([][][]int, c.opt.Size)
+	version := c.status[c.opt.Rank].Map
+	held := make([]HeldExperts, c.opt.Size)
 	failed := make([]bool, c.opt.Size)
 	forEach(c.opt.Size, func(rank int) {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		var err error
-		lists[rank], err = c.opt.Ranks.Experts(ctx, rank)
-		failed[rank] = err != nil || len(lists[rank]) != c.engine.Experts.Layers
+		held[rank], err = c.opt.Ranks.Experts(ctx, rank)
+		failed[rank] = err != nil || held[rank].Version != version || len(held[rank].ByLayer) != c.engine.Experts.Layers
 	})
 	if slices.Contains(failed, true) {
 		return false
 	}
 	c.currentMap = port.ExpertMap{Slots: make([][][]int, c.engine.Experts.Layers)}
 	for l := range c.currentMap.Slots {
-		for rank := range lists {
-			c.currentMap.Slots[l] = append(c.currentMap.Slots[l], lists[rank][l])
+		for _, h := range held {
+			c.currentMap.Slots[l] = append(c.currentMap.Slots[l], h.ByLayer[l])
 		}
 	}
 	c.mapKnown, c.agentsMap = true, completeMap
--- a/internal/rankgroup/engine.go
+++ b/internal/rankgroup/engine.go
@@ -63,6 +63,12 @@
 	Total []int64 // layer by layer
 }
 
+// HeldExperts are the experts that a rank holds by one version of the map.
+type HeldExperts struct {
+	Version int64   `json:"v"`
+	ByLayer [][]int `json:"e"`
+}
+
 // Operation is the kind of an order.
 type Operation string
 
@@ -102,7 +108,7 @@
 	Status(ctx context.Context) (Status, error)
 	PresentStatus(ctx context.Context) (Status, error)
 	Counts(ctx context.Context) (Counts, error)
-	// Experts returns the experts that the rank holds, by layer.
-	Experts(ctx context.Context) ([][]int, error)
+	// Experts returns the experts that the rank holds. To another VM it may return those of an earlier map, as Status does.
+	Experts(ctx context.Context) (HeldExperts, error)
 	Order(ctx context.Context, o Order) error
 }
--- a/internal/rankgroup/group_test.go
+++ b/internal/rankgroup/group_test.go
@@ -96,11 +96,17 @@
 	return Counts{Step: step, Epoch: epoch, Total: counts}, nil
 }
 
-func (r testRank) Experts(ctx context.Context) ([][]int, error) {
+func (r testRank) Experts(ctx context.Context) (HeldExperts, error) {
 	if err := r.Wait(ctx); err != nil {
-		return nil, err
+		return HeldExperts{}, err
 	}
-	return r.Rank.Experts(), nil
+	return r.presentExperts(), nil
+}
+
+// presentExperts returns the experts that the rank holds at this moment.
+func (r testRank) presentExperts() HeldExperts {
+	version, experts := r.Rank.MapAndExperts()
+	return HeldExperts{Version: version, ByLayer: experts}
 }
 
 // testOperations maps operations to the stand-in's names for them.
@@ -136,8 +142,8 @@
 
 // reportSample is what all ranks report at one moment.
 type reportSample struct {
-	status  []Status  // by rank
-	experts [][][]int // by rank, then by layer
+	status  []Status      // by rank
+	experts []HeldExperts // by rank
 }
 
 func newStatusHistory(g *expertgroup.Group, size testSize, seed uint64) *statusHistory {
@@ -150,7 +156,7 @@
 		var now reportSample
 		for _, r := range h.g.Ranks {
 			now.status = append(now.status, testRank{r}.present())
-			now.experts = append(now.experts, r.Experts())
+			now.experts = append(now.experts, testRank{r}.presentExperts())
 		}
 		h.mu.Lock()
 		h.samples = append(h.samples, now)
@@ -171,11 +177,11 @@
 }
 
 // experts returns the experts that a rank reports to another VM.
-func (h *statusHistory) experts(ctx context.Context, rank int) ([][]int, error) {
+func (h *statusHistory) experts(ctx context.Context, rank int) (HeldExperts, error) {
 	r := testRank{h.g.Ranks[rank]}
 	s, ok, err := h.sample(ctx, r)
 	if err != nil || !ok {
-		return r.Rank.Experts(), err
+		return r.presentExperts(), err
 	}
 	return s.experts[rank], nil
 }
@@ -263,7 +269,7 @@
 	return l.agents[rank].Order(ctx, r)
 }
 
-func (l *testLinks) Experts(ctx context.Context, rank int) ([][]int, error) {
+func (l *testLinks) Experts(ctx context.Context, rank int) (HeldExperts, error) {
 	if rank != l.self && l.unreachable(rank) {
 		return l.history.experts(ctx, rank)
 	}
--- a/test/standin/expertgroup/group.go
+++ b/test/standin/expertgroup/group.go
@@ -268,7 +268,13 @@
 func (r *Rank) Siblings() []*Rank { return r.group.Ranks }
 
 // Experts returns the experts that the rank holds, with one list for each layer.
-func (r *Rank) Experts() (experts [][]int) {
-	r.group.withLock(func() { experts = slices.Clone(r.experts) })
+func (r *Rank) Experts() [][]int {
+	_, experts := r.MapAndExperts()
 	return experts
 }
+
+// MapAndExperts returns the version of the map in use and the experts that the rank holds by it, with one list for each layer.
+func (r *Rank) MapAndExperts() (version int64, experts [][]int) {
+	r.group.withLock(func() { version, experts = r.version, slices.Clone(r.experts) })
+	return version, experts
+}
--- a/test/standin/expertgroup/http.go
+++ b/test/standin/expertgroup/http.go
@@ -23,7 +23,8 @@
 		writeJSON(w, r.report())
 	case "/-/picked":
 		if req.URL.Query().Has("lists") {
-			writeJSON(w, map[string]any{"map": map[string]any{"version": r.Status().Map, "experts": r.Experts()}})
+			version, experts := r.MapAndExperts()
+			writeJSON(w, map[string]any{"map": map[string]any{"version": version, "experts": experts}})
 			return
 		}
 		step, epoch, counts := r.Counts()
