node: a rank is read only from the engine that is that rank now

The table of the processes beside ranks kept, for each rank, the one with the latest start, also after entries had named it for another rank. After two processes have exchanged ranks (a group that is formed again in another order) one engine was read and ordered as two ranks, and the other one never: a step with two maps, also with fencing numbers and fresh reports. A process that is named for another rank now leaves its former place, a reading of an engine at another place fails, and a coordinator starts anew when its own rank or the size of the group changes. A new term that the group was formed again under, or whose own rank is read from another VM, is started again.

TestProcessesThatExchangeRanks failed before: rank 2: process "second", want "first".

--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -99,18 +100,18 @@
 	return nil
 }
 
-// runRegistration registers the rank with the entries until ctx ends. It starts a coordinator once the rank's group is
-// known, and replaces it when the group changes.
+// runRegistration registers the rank with the entries until ctx ends. It starts a coordinator once the rank's place in a group is
+// known, and replaces it when that changes.
 func (r *rank) runRegistration(ctx context.Context) {
-	var group string
+	var started fleet.Rank // place for which the coordinator was started
 	stop := func() {}
 	for ctx.Err() == nil {
 		wait := registerInterval
 		if self, ok := r.identify(ctx); !ok || !r.registerOnce(ctx, self) {
 			wait = registerRetryDelay
-		} else if self.Group != group {
+		} else if !samePlace(self, started) {
 			stop()
-			group = self.Group
+			started = self
 			stop = r.startCoordinator(ctx, self)
 		}
 		select {
@@ -121,6 +122,11 @@
 	stop()
 }
 
+// samePlace reports whether a process is beside the same rank of the same group as before.
+func samePlace(a, b fleet.Rank) bool {
+	return a.Group == b.Group && a.Rank == b.Rank && a.Size == b.Size
+}
+
 // identify asks the engine for its group, its rank and the size of the group. It returns false while the engine does
 // not answer or is in no group.
 func (r *rank) identify(ctx context.Context) (fleet.Rank, bool) {
@@ -147,17 +153,28 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, other := range reply.Ranks {
-		if known, ok := r.ranks[other.Rank]; !ok || known.Started <= other.Started {
-			r.ranks[other.Rank] = other
-		}
-	}
+	r.storeRanks(reply.Ranks)
 	if reply.Engine != nil {
 		r.engineConfig = reply.Engine
 	}
 	return true
 }
 
+// storeRanks records processes beside ranks, as an entry names them. A process that is named for another rank than before has left
+// its former one. r.mu must be held.
+func (r *rank) storeRanks(named []fleet.Rank) {
+	for _, other := range named {
+		maps.DeleteFunc(r.ranks, func(i int, known fleet.Rank) bool {
+			return i != other.Rank && known.Name == other.Name && known.Started <= other.Started
+		})
+	}
+	for _, other := range named {
+		if known, ok := r.ranks[other.Rank]; !ok || known.Started <= other.Started {
+			r.ranks[other.Rank] = other
+		}
+	}
+}
+
 // startCoordinator runs a coordinator of the group, which is active while isCoordinator holds. The returned function
 // stops it.
 func (r *rank) startCoordinator(ctx context.Context, self fleet.Rank) context.CancelFunc {
--- a/internal/node/ranklink.go
+++ b/internal/node/ranklink.go
@@ -12,7 +12,10 @@
 // rank implements rankgroup.Ranks: it carries the coordinator's calls to the other ranks of the group.
 var _ rankgroup.Ranks = (*rank)(nil)
 
-var errUnknownRank = errors.New("no process is known for this rank yet")
+var (
+	errUnknownRank = errors.New("no process is known for this rank yet")
+	errOtherRank   = errors.New("the engine is at another place of a group")
+)
 
 const (
 	// agentTimeout bounds the wait for a reading from another rank's process. After it, the rank's engine is called
@@ -44,12 +47,21 @@
 }
 
 // Read reads the state of a rank through the process beside it, where calls to the engine cost nothing. If that process
-// does not answer, Read asks the engine directly, for its status only.
+// does not answer, Read asks the engine directly, for its status only. It fails if the engine is not that rank any more.
 func (r *rank) Read(ctx context.Context, i int, in rankgroup.ReadRequest) (rankgroup.ReadReply, error) {
 	other, ok := r.findRank(i)
 	if !ok {
 		return rankgroup.ReadReply{}, errUnknownRank
 	}
+	reply, err := r.readProcess(ctx, other, in)
+	if s := reply.Status; err == nil && (s.Group != other.Group || s.Rank != i) {
+		return rankgroup.ReadReply{}, errOtherRank
+	}
+	return reply, err
+}
+
+// readProcess reads the engine beside a process.
+func (r *rank) readProcess(ctx context.Context, other fleet.Rank, in rankgroup.ReadRequest) (rankgroup.ReadReply, error) {
 	if other.Name == r.settings.Name {
 		return r.agent.Read(ctx, in)
 	}
--- a/internal/rankgroup/recovery.go
+++ b/internal/rankgroup/recovery.go
@@ -26,11 +26,12 @@
 		return false
 	}
 	c.divideRanks()
+	epoch := c.epoch
 	if !c.readPresent(ctx) {
 		return false
 	}
-	if c.versionsSuperseded() {
-		c.needsNewTerm = true
+	if c.epoch != epoch || c.lagged[c.opt.Rank] || c.versionsSuperseded() {
+		c.needsNewTerm = true // the term is not in force in this epoch, the own rank is elsewhere, or there is a later term
 		return false
 	}
 	c.opt.Notify(Event{Kind: EventRecovery, Epoch: c.epoch, Recovery: c.recovery(results)})
