camphorbankd: keep running on a SIGHUP that arrives while the settings are read

A process on the platform that got SIGHUP while it was still reading its settings file ended without a line in its log. The signal was handled only after the settings had been read, and until then SIGHUP ends a process. It is now handled first, and the settings are read again after such a signal.

--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -23,6 +23,9 @@
 
 // runOnPlatform runs the process with the settings that the platform wrote for its VM. It reloads them on SIGHUP.
 func runOnPlatform(metricsPort int) error {
+	// Until SIGHUP is handled, it ends the process. One that arrives while the settings are read makes Run read them again.
+	reloadSignal := make(chan os.Signal, 1)
+	signal.Notify(reloadSignal, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errNoPlatform
@@ -38,8 +41,6 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	reloadSignal := make(chan os.Signal, 1)
-	signal.Notify(reloadSignal, syscall.SIGHUP)
 	logHandler := logline.New(os.Stdout)
 	defer logHandler.Close()
 	log.SetHandler(logHandler)
