test/soak: wait for processes beside ranks, and state how a process ended

SIGHUP reached r3 before it could handle signals, which ends a process without a line in its log. The same could happen to a reload after a restart, since processes beside ranks counted as ready at once.

A process beside a rank now counts as ready when it listens, at the first start and after a restart. The finding states the time since the start and how the process ended.

--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -63,6 +63,9 @@
 // ExitCode returns the exit code of an ended process.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
+// EndState returns how an ended process has ended, such as "exit status 1" or "signal: hangup".
+func (p *Process) EndState() string { return p.cmd.ProcessState.String() }
+
 // WaitFor polls until the condition holds. After 30 seconds it returns an error that names what was waited for.
 func WaitFor(what string, condition func() bool) error {
 	deadline := time.Now().Add(waitTimeout)
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -132,8 +132,8 @@
 		w.writeSettings(n, true)
 		w.start(n)
 	}
-	for _, e := range w.entries {
-		if err := localfleet.WaitFor(e.name+" ready", e.isReady); err != nil {
+	for _, n := range w.nodes() {
+		if err := localfleet.WaitFor(n.name+" ready", n.isReady); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -251,6 +251,7 @@
 
 // start starts the process of a node. An earlier process of the node must have ended.
 func (w *system) start(e *node) {
+	started := time.Now()
 	p, err := w.fleet.StartWithEnv([]string{platform.SettingsVariable + "=" + e.settings}, e.name, "camphorbankd", "-platform")
 	if err != nil {
 		w.t.Error(err)
@@ -265,7 +266,8 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if !e.exitExpected {
-			w.t.Errorf("%s exited unexpectedly:\n%s", e.name, tail(p.Log()))
+			w.t.Errorf("%s %s exited unexpectedly after %v (%s):\n%s", time.Now().Format("05.000"), e.name, time.Since(started), p.EndState(),
+				tail(p.Log()))
 		}
 	}()
 }
@@ -293,10 +295,12 @@
 	return e.incarnation
 }
 
-// isReady reports whether an entry is ready. Processes beside ranks have no readiness check and count as ready.
+// isReady reports whether an entry is ready. Processes beside ranks have no readiness check and count as ready once they
+// listen. A process that has just been started does not handle SIGHUP yet, and a reload would end it.
 func (e *node) isReady() bool {
 	if e.ready == "" {
-		return true
+		c, err := net.DialTimeout("tcp", net.JoinHostPort("127.0.0.1", e.port), time.Second)
+		return err == nil && c.Close() == nil
 	}
 	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + e.ready + "/-/readiness")
 	if err != nil {
