httpdrain: accept all established connections before the listener is closed

Callers of a process that stops on a busy machine saw a reset instead of an answer: their connections were established, and the server had not accepted them within a second, after which the listener was closed. The wait now lasts as long as the shutdown may.

--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -21,8 +21,6 @@
 	// reuseTime is the time after an answer for which a connection is kept during a shutdown. A caller whose answer began
 	// before the shutdown has not been told that its connection is closed, and often sends its next request at once.
 	reuseTime = 100 * time.Millisecond
-	// backlogTime bounds the time for which Shutdown waits until the server has accepted the established connections.
-	backlogTime = time.Second
 	// firstRequestTime is the time in which the first byte must arrive on a new connection during a shutdown, as in net/http.
 	firstRequestTime = 5 * time.Second
 )
@@ -115,10 +113,9 @@
 }
 
 // awaitBacklog waits until the server has accepted the connections that are established, since those that it has not accepted
-// are reset when the listener is closed. Connections are accepted in their order, so it opens one and waits for that one.
+// are reset when the listener is closed. Connections are accepted in their order, so it opens one and waits for that one until
+// ctx ends: a busy machine may take seconds to accept them.
 func (l *Listener) awaitBacklog(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, backlogTime)
-	defer cancel()
 	var d net.Dialer
 	last, err := d.DialContext(ctx, l.Addr().Network(), l.Addr().String())
 	if err != nil {
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -169,9 +169,15 @@
 }
 
 // TestWaitingConnectionsAreServed guards against a shutdown that cuts off requests on connections that are established and
-// that the server has not accepted yet.
+// that the server has not accepted yet, also if a busy machine takes long to accept them.
 func TestWaitingConnectionsAreServed(t *testing.T) {
-	s := startSlowServer(t, 30*time.Millisecond)
+	for _, acceptDelay := range []time.Duration{30 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(acceptDelay.String(), func(t *testing.T) { checkWaitingConnections(t, acceptDelay) })
+	}
+}
+
+func checkWaitingConnections(t *testing.T, acceptDelay time.Duration) {
+	s := startSlowServer(t, acceptDelay)
 	var callers []*caller
 	for range 5 {
 		c, err := net.Dial("tcp", s.listener.Addr().String())
