gateway, node: requests in the grace period of a planned stop get their outcome

Callers whose body ended late in the grace period of an entry, and those whose request a target still ran at its end, saw their connection cut without an answer: the entry passed requests on whatever time was left, and closed all connections 0.5 s before the end. Now a request is sent to a target only if its own time limit passes before the end, or if the time left is enough for most of the latest requests of its route (95 in 100 of 64; the latency objective for lack of these). Otherwise it is refused at once as not run (503, reason stopping), also while its body is read, while it waits for a place, and before a retry or a continuation. What a target still runs 0.8 s before the end (an eighth of a short grace period) is answered with 502, reason stopping, or its stream is broken off; connections close 0.48 s later.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -108,7 +108,7 @@
 	if !x.route.Idempotent() {
 		return true
 	}
-	if x.sends >= x.route.MaxAttempts || time.Until(x.deadline) < minRetryTime {
+	if x.sends >= x.route.MaxAttempts || time.Until(x.deadline) < minRetryTime || !x.mayStart() {
 		return true
 	}
 	x.retryTaken = x.g.Retries.Take(x.service)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,7 +24,7 @@
 // attempt sends the request to one target. It reports whether another attempt has to follow; if not, the caller has its
 // final answer or has left.
 func (x *exchange) attempt() bool {
-	if x.refuseQuarantined() {
+	if x.refuseStopping() || x.refuseQuarantined() {
 		return false
 	}
 	list := x.g.Targets.Snapshot()
@@ -35,10 +35,16 @@
 			x.record.setOutcome(OutcomeLeft, "")
 			return false
 		}
-		x.giveUp(Reason(refusal.Reason), refusal.RetryAfter)
+		if !x.refuseStopping() {
+			x.giveUp(Reason(refusal.Reason), refusal.RetryAfter)
+		}
 		return false
 	}
 	x.lease = lease
+	if !x.mayStart() { // the stop of the process may have begun during the wait
+		lease.Done(balance.CallerLeft)
+		return !x.refuseStopping()
+	}
 	if x.refuseQuarantined() { // a part may have been quarantined during the wait
 		lease.Done(balance.CallerLeft)
 		return false
@@ -84,11 +90,10 @@
 
 // maxWait returns the longest time for which the request may wait for a place.
 func (x *exchange) maxWait() time.Duration {
-	left := time.Until(x.deadline)
 	if x.returning() {
-		return min(returningWait, time.Duration(returningWaitShare*float64(left)))
+		return min(returningWait, time.Duration(returningWaitShare*float64(time.Until(x.deadline))), x.startWait())
 	}
-	return min(time.Duration(waitShare*float64(x.route.Objective)), left)
+	return min(time.Duration(waitShare*float64(x.route.Objective)), x.startWait())
 }
 
 // job returns the description of the request for the balancer.
@@ -119,6 +124,7 @@
 	resultCallerLeft  = result{name: "left", final: true, leaseResult: balance.CallerLeft}
 	resultNotSent     = result{name: "unsent", leaseResult: balance.Broken, notSent: true, notRun: true}
 	resultTargetLeft  = result{name: "target-left", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
+	resultTooLate     = result{name: "too-late", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultRefused     = result{name: "refused", leaseResult: balance.Refused, notRun: true}
 	resultOtherTarget = result{name: "other-target", leaseResult: balance.Broken, notRun: true}
 	resultFailed      = result{name: "failed", leaseResult: balance.Failed}
@@ -134,13 +140,16 @@
 			Account: x.accountName(), Target: lease.Target.ID, Wait: left, Priority: x.priority(),
 			ResumeAfter: x.lastEventID,
 		}),
-		// The target may have said that it leaves since it was chosen: opening a connection takes up to upstream.DialTimeout,
-		// and longer if this process was paused.
-		MaySend: func() bool { return !x.g.Targets.IsLeaving(lease.Target.Incarnation()) },
+		// The target may have said that it leaves since it was chosen, and the time until the end of a stop may be used up:
+		// opening a connection takes up to upstream.DialTimeout, and longer if this process was paused.
+		MaySend: func() bool { return x.mayStart() && !x.g.Targets.IsLeaving(lease.Target.Incarnation()) },
 	}
 	resp, err := x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
 	if err != nil {
 		if errors.Is(err, upstream.ErrMayNotSend) {
+			if !x.mayStart() {
+				return resultTooLate, err
+			}
 			return resultTargetLeft, err
 		}
 		if upstream.NotSent(err) {
@@ -272,6 +281,8 @@
 		x.giveUp(ReasonUnknown, 0)
 	case r.crashed && x.prompt.Suspected():
 		x.giveUp(ReasonSuspected, x.refusedRetryAfter())
+	case !x.mayStart():
+		x.giveUp(ReasonStopping, unsentRetryAfter)
 	case x.sends >= x.route.MaxAttempts:
 		x.giveUp(ReasonAttempts, x.refusedRetryAfter())
 	case !x.takeRetry():
@@ -312,19 +323,23 @@
 	case x.r.Context().Err() != nil:
 		x.record.setOutcome(OutcomeLeft, "")
 	case x.headSent:
-		x.abort(OutcomeBroken, ReasonTimeout)
+		x.abort(OutcomeBroken, x.contextReason())
 	case x.mayHaveRun:
-		x.fail(ReasonTimeout)
+		x.fail(x.contextReason())
 	default:
-		x.refuse(http.StatusServiceUnavailable, ReasonTimeout, unsentRetryAfter)
+		x.refuse(http.StatusServiceUnavailable, x.contextReason(), unsentRetryAfter)
 	}
 }
 
 // contextResult sets the name and the balancer's result in r according to how the request's context ended.
 func (x *exchange) contextResult(r result) result {
-	r.name, r.leaseResult = "timeout", balance.Broken
-	if errors.Is(x.ctx.Err(), context.Canceled) {
+	switch {
+	case x.stopped():
+		r.name, r.leaseResult = "stopped", balance.CallerLeft
+	case errors.Is(x.ctx.Err(), context.Canceled):
 		r.name, r.leaseResult = "left", balance.CallerLeft
+	default:
+		r.name, r.leaseResult = "timeout", balance.Broken
 	}
 	return r
 }
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -27,6 +27,7 @@
 	BrokenShort      Ending = "short"        // the connection was closed before the stated length or the last chunk
 	BrokenConnection Ending = "connection"   // the connection failed
 	BrokenTime       Ending = "time"         // the time limit of the request passed
+	BrokenStop       Ending = "stopped"      // the planned stop of the process ended the request
 	BrokenLeft       Ending = "caller-left"  // the caller left before the end
 	BrokenEndless    Ending = "endless"      // it exceeds the bound for answers without a stated length
 	BrokenCrash      Ending = "target-ended" // it ended with its connection, and so did the process of its target
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -17,7 +17,7 @@
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Bodies, Observe and Closing are
+// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Bodies, Observe and Stop are
 // required.
 type Gateway struct {
 	HeaderTranslator HeaderTranslator
@@ -29,8 +29,9 @@
 	Quarantine       *quarantine.Tracker // nil for a gateway that tracks no parts of prompts
 	Bodies           *membudget.Budget   // memory for the bodies of requests in progress; nil for no bound
 	Observe          func(*Record)       // receives the record of each request when it has ended; must not block
-	// Closing reports whether connections are to be closed after their present answer.
-	Closing func() bool
+	Stop             *Stop               // the planned stop of the process; nil if there is none
+
+	runTimes runTimes
 }
 
 const (
@@ -60,7 +61,7 @@
 			g.Observe(&x.record)
 		}
 	}()
-	if g.Closing != nil && g.Closing() {
+	if g.Stop.Begun() {
 		w.Header().Set("Connection", "close")
 	}
 	if x.admit() {
@@ -84,6 +85,8 @@
 	deadline time.Time
 	record   Record
 
+	runStarted time.Time // time at which the body had been read
+
 	lease         *balance.Lease // place of the present attempt
 	failedTargets map[targetset.Incarnation]bool
 	prompt        *quarantine.Prompt // nil if the request states no shared parts of its prompt
@@ -130,6 +133,10 @@
 		}
 		x.record.Account = x.account.Name
 	}
+	if !x.mayStart() {
+		x.refuseUnread()
+		return false
+	}
 	return x.readBody()
 }
 
@@ -151,6 +158,9 @@
 	body, err := x.readBodyInTime(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errStopping):
+		x.refuseUnread()
+		return false
 	case errors.Is(err, errNoMemory):
 		x.w.Header().Set("Connection", "close") // the rest of the body is not read
 		x.refuse(http.StatusServiceUnavailable, ReasonMemory, memoryRetryAfter)
@@ -176,7 +186,11 @@
 	if err := setBodyDeadline(x.r, end); err != nil {
 		return nil, err
 	}
+	interrupted := x.interruptBody()
 	body, err := x.readWithinMemory(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if interrupted() && err != nil {
+		return nil, errStopping
+	}
 	if err != nil && !time.Now().Before(end) {
 		err = errors.Join(err, os.ErrDeadlineExceeded) // net/http drops the cause if trailers cannot be read
 	}
@@ -219,9 +233,14 @@
 func (x *exchange) run() {
 	x.deadline = x.record.Started.Add(x.timeLimit())
 	x.limitWrites(x.deadline.Add(writeGrace))
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	stoppable, end := context.WithCancelCause(x.r.Context())
+	defer end(nil)
+	defer x.g.Stop.atEnd(func() { end(errStopping) })()
+	ctx, cancel := context.WithDeadline(stoppable, x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	x.runStarted = time.Now()
+	defer x.noteRunTime()
 	x.service = x.route.PickService()
 	x.record.Service = x.service
 	x.failedTargets = map[targetset.Incarnation]bool{}
@@ -239,6 +258,14 @@
 	x.endInOrder()
 }
 
+// noteRunTime records how long the request took, if a target has answered it or should have.
+func (x *exchange) noteRunTime() {
+	switch x.record.Outcome {
+	case OutcomeServed, OutcomeFailed, OutcomeBroken:
+		x.g.runTimes.add(x.route.Name, time.Since(x.runStarted))
+	}
+}
+
 // endInOrder lets the connection of an HTTP/1.0 caller end in order, since its answer is complete.
 func (x *exchange) endInOrder() {
 	c := connOf(x.r)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -37,6 +37,7 @@
 	ReasonAttempts   Reason = "attempts-used-up"
 	ReasonBudget     Reason = "retry-budget-used-up"
 	ReasonUnknown    Reason = "outcome-unknown"
+	ReasonStopping   Reason = "stopping" // the process ends before the request would
 	// ReasonQuarantined means that engines crash under a part of the prompt, and ReasonSuspected that they may.
 	ReasonQuarantined Reason = "prompt-quarantined"
 	ReasonSuspected   Reason = "prompt-suspected"
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,76 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/test/standin/target"
+)
+
+// stopLeft is the time that is left of a stop, too short for another attempt.
+const stopLeft = 50 * time.Millisecond
+
+// TestNoLateAttemptDuringStop guards against a retry or a continuation that starts when the process stops too soon for it, and
+// against a caller that is not told what became of its request.
+func TestNoLateAttemptDuringStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		first  target.Behaviour
+		status int
+		broken bool // the answer breaks off
+	}{
+		"retry after a reset":      {"/safe/x", target.Reset(), http.StatusBadGateway, false},
+		"retry after a refusal":    {"/safe/x", target.RefuseNotRun(), http.StatusServiceUnavailable, false},
+		"retry after a failure":    {"/safe/x", target.Answer(500, "failed"), http.StatusInternalServerError, false},
+		"continuation":             {"/stream/x", target.Stream(3, time.Millisecond, true), http.StatusOK, true},
+		"attempt that must be one": {"/unsafe/x", target.Reset(), http.StatusBadGateway, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stop := gateway.NewStop()
+			begin := func(conn net.Conn, a target.Arrival) bool {
+				stop.Begin(time.Now().Add(stopLeft))
+				return c.first(conn, a)
+			}
+			f := newFixture(t, begin, target.Answer(200, "second"))
+			f.gateway.Stop = stop
+			a := f.do("POST", c.path, "prompt")
+			if a.status != c.status || c.broken != (a.err != nil) || len(f.second.Arrivals()) > 0 {
+				t.Errorf("%+v, %d arrivals at the second target", a, len(f.second.Arrivals()))
+			}
+			if promised := a.header.Get("Retry-After") != ""; promised != (c.status == http.StatusServiceUnavailable) {
+				t.Errorf("Retry-After %q with status %d", a.header.Get("Retry-After"), a.status)
+			}
+		})
+	}
+}
+
+// TestStopRefusesWithoutTime guards against a request that waits or is sent to a target although the process stops too soon
+// for it, and against the refusal of one whose own time limit passes before that.
+func TestStopRefusesWithoutTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		left   time.Duration
+		limit  string // of the caller, in milliseconds
+		status int
+	}{
+		"no time left":       {stopLeft, "1000", http.StatusServiceUnavailable},
+		"enough time":        {time.Second, "1400", http.StatusOK},
+		"shorter time limit": {250 * time.Millisecond, "200", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
+			f.gateway.Stop = gateway.NewStop()
+			f.gateway.Stop.Begin(time.Now().Add(c.left))
+			a := f.do("POST", "/unsafe/x", "prompt", "X-Camphorbank-Deadline-Ms", c.limit)
+			if a.status != c.status || (a.status == http.StatusOK) != (f.arrivals() == 1) {
+				t.Errorf("%+v, %d arrivals", a, f.arrivals())
+			}
+			if refused := strings.Contains(a.body, string(gateway.ReasonStopping)); refused != (c.status != http.StatusOK) {
+				t.Errorf("answer %q", a.body)
+			}
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,7 +56,7 @@
 }
 
 // brokenResult returns the result of an attempt whose answer is incomplete. If the request has reached its time limit or
-// its caller has left, that is why the answer ended.
+// its caller has left, or the process stops, that is why the answer ended.
 func (x *exchange) brokenResult(e Ending) result {
 	r := resultBroken
 	switch {
@@ -64,6 +64,8 @@
 		r = resultCallerLeft
 	case x.r.Context().Err() != nil:
 		r, e = x.contextResult(result{}), BrokenLeft
+	case x.stopped():
+		r, e = x.contextResult(result{}), BrokenStop
 	case x.ctx.Err() != nil:
 		r, e = x.contextResult(result{}), BrokenTime
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -37,8 +37,12 @@
 	// unreadyPropagationDelay is the time until the platform sends no more new connections to a process that is not
 	// ready. It covers two readiness checks, one second apart, and their answers.
 	unreadyPropagationDelay = 2600 * time.Millisecond
-	// stopMargin is the time kept between the end of the last requests and the platform's SIGKILL.
-	stopMargin = 500 * time.Millisecond
+	// answerMargin is the longest time kept between the final answers of the last requests and the platform's SIGKILL. It
+	// covers their way to the callers and the end of the process. It is answerMarginShare of a short grace period at most.
+	answerMargin      = 800 * time.Millisecond
+	answerMarginShare = 0.125
+	// closeMarginShare is the part of that time, at its end, for which callers' connections are closed.
+	closeMarginShare = 0.4
 	// peerIdleTimeout is the time after which unused connections to peers are closed. It is long enough to keep them
 	// open over a few missed exchanges.
 	peerIdleTimeout = 5 * time.Second
@@ -58,7 +62,7 @@
 	peers         *peer.Pool
 	fleet         *fleet.Fleet
 	watcher       *listwatch.Watcher
-	stopping      atomic.Bool
+	stopping      *gateway.Stop
 	ready         atomic.Bool // last answer to the platform's readiness check
 	records       *decision.Ring
 	current       currentSettings // settings in force, while settings holds those of the start
@@ -68,7 +72,7 @@
 // newEntry creates the parts of an entry and connects them. It starts none of them.
 func newEntry(s *Settings, a Adapters) *entry {
 	e := &entry{settings: s, adapters: a, tables: &routetable.Store{}, targets: targetset.New(), pool: upstream.NewPool(),
-		peers: &peer.Pool{IdleTimeout: peerIdleTimeout}, records: decision.NewRing(maxRecords)}
+		peers: &peer.Pool{IdleTimeout: peerIdleTimeout}, stopping: gateway.NewStop(), records: decision.NewRing(maxRecords)}
 	e.bodies = s.bodyBudget()
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
@@ -81,7 +85,7 @@
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano(), DataCentre: s.DataCentre},
 		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets, Quarantine: e.quarantine,
 		InFlight: e.balance.InFlight, ReportInFlight: e.balance.SetPeerInFlight, ReportGroup: e.reportGroup,
-		ReadsPlatform: e.watcher.ReadsPlatform, Stopping: e.stopping.Load, Notify: logFleet,
+		ReadsPlatform: e.watcher.ReadsPlatform, Stopping: e.stopping.Begun, Notify: logFleet,
 	})
 	e.watcher.EnoughReaders = e.fleet.EnoughReaders
 	return e
@@ -154,7 +158,7 @@
 func (e *entry) newCallerServer() *http.Server {
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.bodies, Observe: e.observe, Closing: e.stopping.Load,
+		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.bodies, Observe: e.observe, Stop: e.stopping,
 	})
 	server.ErrorLog = serverLog
 	return server
@@ -177,9 +181,9 @@
 // isReady reports whether the process accepts new connections: it must have a configuration and a target list, and must
 // not be stopping. It logs each change.
 func (e *entry) isReady() bool {
-	ready := !e.stopping.Load() && e.tables.Load() != nil && e.targets.Snapshot().Revision > 0
+	ready := !e.stopping.Begun() && e.tables.Load() != nil && e.targets.Snapshot().Revision > 0
 	if e.ready.Swap(ready) != ready {
-		logReadiness(ready, e.tables.Version(), e.targets.Snapshot().Revision, e.stopping.Load())
+		logReadiness(ready, e.tables.Version(), e.targets.Snapshot().Revision, e.stopping.Begun())
 	}
 	return ready
 }
@@ -231,13 +235,17 @@
 }
 
 // stop shuts the process down gracefully. It accepts requests until the platform has noticed that the process is not
-// ready, then waits for the requests in flight. Requests that outlast the grace period are cut off.
+// ready, then waits for the requests in flight. Requests that no target can answer before the end of the grace period are
+// refused as not run, and those that a target still runs near its end are told that their outcome is unknown.
 func (e *entry) stop(ctx context.Context, callerServer *http.Server, callers *httpdrain.Listener) {
-	e.stopping.Store(true)
+	grace := e.current.bounds().Grace
+	kill := time.Now().Add(grace)
+	margin := min(answerMargin, time.Duration(answerMarginShare*float64(grace)))
+	e.stopping.Begin(kill.Add(-margin))
 	logStopping(e.balance.InFlight())
-	ctx, cancel := context.WithTimeout(ctx, e.current.bounds().Grace-stopMargin)
+	ctx, cancel := context.WithDeadline(ctx, kill.Add(-time.Duration(closeMarginShare*float64(margin))))
 	defer cancel()
-	time.Sleep(min(unreadyPropagationDelay, e.current.bounds().Grace/2))
+	time.Sleep(min(unreadyPropagationDelay, grace/2))
 	if err := callers.Shutdown(ctx); err != nil {
 		logCutOff(err, e.balance.InFlight())
 		_ = callerServer.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -50,10 +50,15 @@
 
 // startEntry starts an entry that reads the store at storeAddr and stops it at the end of the test.
 func startEntry(t *testing.T, name, storeAddr string, seeds ...string) *entryProcess {
+	return startEntryWithGrace(t, name, storeAddr, 6*time.Second, seeds...)
+}
+
+// startEntryWithGrace starts an entry whose platform ends it after the grace period.
+func startEntryWithGrace(t *testing.T, name, storeAddr string, grace time.Duration, seeds ...string) *entryProcess {
 	free := freeAddrs(t, 4)
 	s := &node.Settings{Name: name, Role: node.RoleEntry, IP: "127.0.0.1", DataCentre: "a", Store: storeAddr, FirstStart: true,
 		Listen: node.Listen{Callers: free[0], Ready: free[1], Control: free[2], Metrics: free[3]},
-		Bounds: node.DeploymentLimits{Grace: 6 * time.Second, RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second}}
+		Bounds: node.DeploymentLimits{Grace: grace, RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second}}
 	s.Seeds = append(seeds, s.Listen.Control)
 	ctx, stop := context.WithCancel(context.Background())
 	p := &entryProcess{t: t, settings: s, stop: stop, done: make(chan error, 1)}
