quarantine: an entry that takes a quarantine over says so before it tests the part

Callers lost more engines to a quarantined part than the three that are allowed: after the origin of the quarantine had ended, or on both sides of a cut, two entries tested the part before one learned the result of the other. Each drew the time of its test by itself.

An entry now takes the quarantine over first, becomes its origin, and tests the part after twice the time of the quarantine, 2 min at most. Of the entries that take it over at the same time, all follow the one with the lowest id, so that there is one test on each side of a cut.

TestOneEntryTakesAQuarantineOver: "4 entries test the part, want 1".

--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -175,3 +175,37 @@
 		t.Errorf("%q is refused for %v after the quarantine, want at most %v", part, left, testTime)
 	}
 }
+
+// TestOneEntryTakesAQuarantineOver guards against several entries that test a part of an origin that has ended before one
+// learns the result of another, and against a part that no entry tests.
+func TestOneEntryTakesAQuarantineOver(t *testing.T) {
+	c := newClock()
+	origin := New(c.now)
+	var entries []*Tracker
+	for range 4 {
+		entries = append(entries, New(c.now))
+	}
+	begin(origin, c, 100, "kind")
+	crashUnder(origin, c, 1, "kind", "bad")
+	crashUnder(origin, c, 2, "kind", "bad")
+	c.advance(settleTime)
+	origin.Sweep()
+	exchangeAll(c, 2, append(entries, origin)...)
+	c.advance(firstQuarantine + 2*otherTestDelay*firstQuarantine)
+	for _, e := range entries {
+		if !isBlocked(e, "bad") {
+			t.Error("an entry tests the part before the others know that it has taken the quarantine over")
+		}
+	}
+	exchangeAll(c, 2, entries...)
+	c.advance(maxTakeOverTime)
+	tests := 0
+	for _, e := range entries {
+		if part, _ := e.Prompt(testService, []Part{"bad"}).Blocked(); part == "" {
+			tests++
+		}
+	}
+	if tests != 1 {
+		t.Errorf("%d entries test the part, want 1", tests)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,7 +6,8 @@
 // answers had begun, and which parts have been in requests whose answers did begin. Entries exchange this evidence. A
 // part that explains several crashes and has not been in an answer since is quarantined: requests with it are refused
 // for some time, after which the entry that imposed the quarantine lets a single one through to test whether engines still
-// crash. While a crash is recent and evidence may still arrive, requests with a suspected part are held off.
+// crash. Another entry takes that over if it does not. While a crash is recent and evidence may still arrive, requests with a
+// suspected part are held off.
 package quarantine
 
 import (
@@ -31,10 +32,13 @@
 	// shortQuarantine is the first time for a part that may have crashed engines without enough evidence. It outlasts the
 	// time in which all entries learn of the quarantine, and agree on the one that tests the part.
 	shortQuarantine = 4 * time.Second
-	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries test a part that its
-	// origin has not tested. They spread their tests over as long again, so that one of them learns the result before the
-	// others send theirs.
+	// otherTestDelay is the time after a quarantine, as a multiple of it, after which other entries take over a part that
+	// its origin has not tested. They spread this over as long again.
 	otherTestDelay = 20
+	// takeOverShare is the time, as a multiple of a quarantine, between the moment at which another entry takes it over and
+	// its test, and maxTakeOverTime bounds it. All entries that can reach each other learn meanwhile which one tests.
+	takeOverShare   = 2
+	maxTakeOverTime = 2 * time.Minute
 	// testPauseShare is the share of a quarantine, as a divisor, after which a test that reached no engine is repeated, and
 	// testTime the time after which a caller that is refused during a test may return.
 	testPauseShare = 10
@@ -64,7 +68,7 @@
 type quarantine struct {
 	since, until time.Time
 	duration     time.Duration
-	origin       uint32 // Tracker.id of the entry that imposed it, which tests the part
+	origin       uint32 // Tracker.id of the entry that tests the part: the one that imposed it or has taken it over
 	// testAfter is the time from which this process sends a single request with the part to test it.
 	testAfter time.Time
 	testing   *Prompt // the request that tests the part; nil if none does
@@ -120,6 +124,9 @@
 			return part, q.retryAfter(now)
 		case q.testing != nil: // also by this request, which must not reach a second engine
 			return part, testTime
+		case q.origin != t.id:
+			t.takeOver(part, q, now)
+			return part, q.takeOverTime()
 		}
 	}
 	p.startTests()
@@ -293,8 +300,20 @@
 	t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: d})
 }
 
-// newQuarantine returns a quarantine. Its origin tests the part at its end; the other entries do so only if the origin has
-// not for otherTestDelay, since it may have ended.
+// takeOver makes this entry the origin of a quarantine whose origin has not tested the part. It sends no test before
+// takeOverTime: entries that take a quarantine over before they learn of each other would each send one. The caller holds
+// the lock.
+func (t *Tracker) takeOver(part Part, q *quarantine, now time.Time) {
+	t.quarantines[part] = t.newQuarantine(q.since, now.Add(q.takeOverTime()), q.duration, t.id)
+}
+
+// takeOverTime returns the time after which an entry that takes the quarantine over tests the part.
+func (q *quarantine) takeOverTime() time.Duration {
+	return min(maxTakeOverTime, takeOverShare*q.duration)
+}
+
+// newQuarantine returns a quarantine. Its origin tests the part at its end; another entry takes it over only if the origin
+// has not for otherTestDelay, since it may have ended.
 func (t *Tracker) newQuarantine(since, until time.Time, d time.Duration, origin uint32) *quarantine {
 	q := &quarantine{since: since, until: until, duration: d, origin: origin, testAfter: until}
 	if origin != t.id {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -121,15 +121,14 @@
 	t.settle(now)
 }
 
-// adopt puts the quarantine of a peer in force, unless a longer one is known, an answer has begun since, or another part
-// explains the crashes better. Of quarantines of the same length, all entries take the one with the lowest origin, so that
-// one entry tests the part. The caller holds the lock.
+// adopt puts the quarantine of a peer in force, unless one that supersedes it is known, an answer has begun since, or
+// another part explains the crashes better. The caller holds the lock.
 func (t *Tracker) adopt(part Part, q *quarantine) {
 	if t.historyOf(part).lastBegun.After(q.since) {
 		return
 	}
 	known := t.quarantines[part]
-	if known != nil && (known.duration > q.duration || known.duration == q.duration && known.origin <= q.origin) {
+	if known != nil && !q.supersedes(known) {
 		return
 	}
 	t.quarantines[part] = q
@@ -140,3 +139,16 @@
 		t.notify(Event{Kind: EventQuarantined, Part: part, Crashes: t.crashesWith(part), For: q.duration})
 	}
 }
+
+// supersedes reports whether a quarantine replaces another one of the same part at all entries, so that one of them tests
+// the part: a longer one does, of the same length one that was taken over later, and of those imposed or taken over at the
+// same time the one with the lowest origin.
+func (q *quarantine) supersedes(other *quarantine) bool {
+	if q.duration != other.duration {
+		return q.duration > other.duration
+	}
+	if later := q.until.Sub(other.until); later.Abs() > q.takeOverTime() {
+		return later > 0
+	}
+	return q.origin < other.origin
+}
