upstream: lines of a head must end with CRLF

Reported by operators of similar systems: a target stopped in the middle of a head, and callers got a 200 with an empty or a short body. A head that ends anywhere before its blank line was no answer here before. But net/http accepts a bare line feed as the end of a line, so that a target that dropped the rest of a head and went on with its events got through: the first event was taken for header lines and the blank line after it for the end of the head. The length or the chunks were in the dropped part, so that the answer ended with its connection.

What callers saw: 200, without the first event, ended in order.

Change: each line of a head must end with CRLF, as the lines of chunks already had to. A head with a line "data:" is no answer either: events may have CRLF at the end of their lines. An answer without a whole head is tried elsewhere, or answered with 502 if the request must run once.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,13 +8,13 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httphead"
 	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
@@ -32,14 +32,14 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	sent      *countingWriter
-	received  *limitedReader
+	received  *headReader
 	idleLimit time.Duration // longest idle time after which the connection may be used again
 	idleSince time.Time     // time since which the connection is idle
 	carried   bool          // it has carried a request
 }
 
 func newConn(addr string, c net.Conn) *conn {
-	sent, received := &countingWriter{to: c}, &limitedReader{from: c, left: math.MaxInt64}
+	sent, received := &countingWriter{to: c}, &headReader{from: c}
 	return &conn{Conn: c, addr: addr, reader: bufio.NewReaderSize(received, readBufferBytes),
 		writer: bufio.NewWriter(sent), sent: sent, received: received}
 }
@@ -71,22 +71,32 @@
 
 var errHeadTooLong = errors.New("head of the answer is too long")
 
-// limitedReader reads from the connection up to a limit.
-type limitedReader struct {
-	from io.Reader
-	left int64
+// headReader reads from the connection. While it reads the heads of an answer, it checks their lines and stops at a limit.
+type headReader struct {
+	from   io.Reader
+	inHead bool
+	lines  httphead.Lines
+	left   int64 // bytes that may be read while inHead
 }
 
-func (r *limitedReader) limit(n int64) { r.left = n }
+func (r *headReader) beginHead(limit int64) {
+	r.inHead, r.lines, r.left = true, httphead.Lines{}, limit
+}
 
-func (r *limitedReader) unlimit() { r.left = math.MaxInt64 }
+func (r *headReader) endHead() { r.inHead = false }
 
-func (r *limitedReader) Read(p []byte) (int, error) {
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.from.Read(p)
+	}
 	if r.left <= 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := r.from.Read(p)
 	r.left -= int64(n)
+	if malformed := r.lines.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -148,8 +148,8 @@
 // readResponse reads the head of the final answer and skips informational (1xx) ones. All these heads together may have
 // maxHeadBytes.
 func (p *Pool) readResponse(c *conn, method string) (*Response, error) {
-	c.received.limit(maxHeadBytes)
-	defer c.received.unlimit()
+	c.received.beginHead(maxHeadBytes)
+	defer c.received.endHead()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
