enginehttp, rankhttp: each request has a connection of its own

Reported by operators of similar systems: a server sent a second copy of an answer on a connection that was in use again, and the next caller got it. The local process kept its connections to the engine, whose answers do not name their request. net/http drops a copy only if it arrives while the connection is idle.

What callers saw: the text of another request, as their own and whole. Frames and hashes are made from what the local process reads, and do not show this. A reading of a rank could get the reply to another command.

Change: NewSingleUseTransport, for the engine, the rank and, as before, the plain service. The requests go to the same VM; reports are read once a second.

Not measured: first_token_added_us, since the machine was too busy.

--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -52,12 +52,10 @@
 
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
-	transport := httpclient.NewTransport(dialTimeout)
-	transport.MaxIdleConnsPerHost = 64
 	return &Client{
 		FirstTokenTimeout: defaultFirstTokenTimeout, StallTimeout: defaultStallTimeout, base: strings.TrimRight(base, "/"),
 		http: &http.Client{
-			Transport:     transport,
+			Transport:     httpclient.NewSingleUseTransport(dialTimeout),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/adapter/rankhttp/rankhttp.go
+++ b/internal/adapter/rankhttp/rankhttp.go
@@ -56,7 +56,7 @@
 
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
-	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: httpclient.NewTransport(dialTimeout)}}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: httpclient.NewSingleUseTransport(dialTimeout)}}
 }
 
 // State reads the state of the rank.
--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -34,11 +34,8 @@
 
 // New returns a client of the service at the base URL.
 func New(base string) *Client {
-	transport := httpclient.NewTransport(dialTimeout)
-	// net/http retries a request by itself when a reused connection breaks, so connections are not reused.
-	transport.DisableKeepAlives = true
 	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{
-		Transport:     transport,
+		Transport:     httpclient.NewSingleUseTransport(dialTimeout),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -17,3 +17,11 @@
 func NewTransport(dialTimeout time.Duration) *http.Transport {
 	return &http.Transport{DialContext: tcpconn.Dialer(dialTimeout).DialContext, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true}
 }
+
+// NewSingleUseTransport returns a transport like NewTransport that uses each connection for one request. A second copy of an
+// earlier answer can then not be taken for the answer to the next request, and net/http never sends a request again by itself.
+func NewSingleUseTransport(dialTimeout time.Duration) *http.Transport {
+	t := NewTransport(dialTimeout)
+	t.DisableKeepAlives = true
+	return t
+}
