httpclient: heads of engines, ranks and plain services are checked

What callers saw: a draft without its start, as whole; a call to a plain service with a part of its body.

Change: connections for one request check the lines of the head as the gateway does. A response without a whole head leaves open whether the request has run.

--- a/internal/adapter/enginehttp/latecopy_test.go
+++ b/internal/adapter/enginehttp/latecopy_test.go
@@ -32,6 +32,9 @@
 // generate returns the text of one request.
 func generate(t *testing.T, cl *Client) (string, error) {
 	var text strings.Builder
-	err := cl.Generate(t.Context(), port.EngineRequest{ID: "id", MaxTokens: 5}, func(c port.Chunk) error { text.WriteString(c.Text); return nil })
+	err := cl.Generate(t.Context(), port.EngineRequest{ID: "id", MaxTokens: 5}, func(c port.Chunk) error {
+		text.WriteString(c.Text)
+		return nil
+	})
 	return text.String(), err
 }
--- a/internal/adapter/rankhttp/latecopy_test.go
+++ b/internal/adapter/rankhttp/latecopy_test.go
@@ -9,8 +9,8 @@
 // TestLateCopy guards against a second copy of an earlier reply that arrives when the next command or reading has been sent on
 // the same connection: a refused command would count as carried out, and an earlier state as the present one.
 func TestLateCopy(t *testing.T) {
-	cl := New("http://" + latecopy.Start(t, latecopy.Answer(200, `{"step":1}`), latecopy.Answer(409, "held"), latecopy.Answer(200, `{"step":2}`),
-		latecopy.Answer(200, `{"step":3}`)))
+	cl := New("http://" + latecopy.Start(t, latecopy.Answer(200, `{"step":1}`), latecopy.Answer(409, "held"),
+		latecopy.Answer(200, `{"step":2}`), latecopy.Answer(200, `{"step":3}`)))
 	if err := cl.Hold(t.Context(), 1, 1, 1); err != nil {
 		t.Error(err)
 	}
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -3,9 +3,13 @@
 package httpclient
 
 import (
+	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httphead"
 	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
@@ -19,9 +23,40 @@
 }
 
 // NewSingleUseTransport returns a transport like NewTransport that uses each connection for one request. A second copy of an
-// earlier answer can then not be taken for the answer to the next request, and net/http never sends a request again by itself.
+// earlier answer can then not be taken for the answer to the next request, net/http never sends a request again by itself, and
+// the lines of each head are checked.
 func NewSingleUseTransport(dialTimeout time.Duration) *http.Transport {
 	t := NewTransport(dialTimeout)
 	t.DisableKeepAlives = true
+	secure := &tls.Dialer{NetDialer: tcpconn.Dialer(dialTimeout)}
+	t.DialContext = checkingDialer(t.DialContext)
+	t.DialTLSContext = checkingDialer(secure.DialContext)
 	return t
 }
+
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// checkingDialer returns a dialer whose connections check the lines of the head of an answer.
+func checkingDialer(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: c}, nil
+	}
+}
+
+// checkedConn is a connection for one answer.
+type checkedConn struct {
+	net.Conn
+	lines httphead.Lines
+}
+
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if malformed := c.lines.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
--- a/test/standin/cuthead/cuthead.go
+++ b/test/standin/cuthead/cuthead.go
@@ -37,8 +37,8 @@
 	"a blank line":        "\n\nhello",
 }
 
-// Check makes a call against each cut, with a connection that is closed and one that is reset. call returns the error of the call,
-// or nil if it takes the bytes for an answer.
+// Check makes a call against each cut, with a connection that is closed and one that is reset. call returns the error of the
+// call, or nil if it takes the bytes for an answer.
 func Check(t *testing.T, call func(ctx context.Context, addr string) error) {
 	t.Helper()
 	for name, head := range heads {
