gateway: a failure without an id on a connection in use is asked for again

Reported by operators of similar systems: a server sent a second copy of an answer late, and the next caller got it. Successes and promises without an id on a connection that was in use were not accepted before, nor any answer without an id to a request that must run once. Other failures without an id (3xx, 4xx, 5xx) were passed on to callers of requests that may be repeated.

What callers saw: the failure of another request.

Change: such a request is sent to the same target again on a new connection, within the retry budget; without budget the answer counts as that of another request. The target is not taken for faulty, since it may never state ids in its failures.

Evidence, TestLateCopyOfFailureWithoutID before the change: status 302, "one", want the own answer "two" and so for 404 and 409, on the routes safe and stream.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,6 +139,15 @@
 		MaySend: func() bool { return !x.g.Targets.IsLeaving(lease.Target.Incarnation()) },
 	}
 	resp, err := x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
+	if err == nil && x.mayBeCopiedFailure(resp) {
+		resp.Finish(false)
+		x.mayHaveRun = true
+		if !x.g.Retries.Take(x.service) {
+			return x.brokenResult(BrokenForeign), errOtherRequest
+		}
+		req.NewConnection = true
+		resp, err = x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
+	}
 	if err != nil {
 		if errors.Is(err, upstream.ErrMayNotSend) {
 			return resultTargetLeft, err
@@ -237,6 +246,13 @@
 	return a.ID != x.call.ID
 }
 
+// mayBeCopiedFailure reports whether an answer without an id is a failure that may be a late copy, and that the same target can
+// be asked for again on a new connection. Targets that state no id in their failures would otherwise count as faulty.
+func (x *exchange) mayBeCopiedFailure(resp *upstream.Response) bool {
+	a := x.g.HeaderTranslator.Answer(resp.Status, resp.Header)
+	return a.ID == "" && resp.Reused && x.route.Idempotent() && !a.NotRun && resp.Status >= http.StatusMultipleChoices
+}
+
 // meantOtherTarget reports whether an answer shows that the request, which names its target, has reached another one, which
 // does not run it. The status alone shows nothing.
 func (x *exchange) meantOtherTarget(a Answer) bool {
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -276,6 +276,32 @@
 	}
 }
 
+// TestLateCopyOfFailureWithoutID guards against a late copy of a failure without an id that is passed on to the caller of the
+// next request on its connection, and against a target whose own failures without an id no caller gets.
+func TestLateCopyOfFailureWithoutID(t *testing.T) {
+	for _, status := range []string{"302 Found", "404 Not Found", "409 Conflict"} {
+		for _, path := range []string{"/safe/x", "/stream/x"} {
+			t.Run(status+path, func(t *testing.T) {
+				answer := func(body string) string {
+					return fmt.Sprintf("HTTP/1.1 %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", status, target.HeaderStamp, len(body), body)
+				}
+				before := map[int]string{} // last answer, by connection
+				f := newFixture(t, func(c net.Conn, a target.Arrival) bool {
+					own := answer(a.Body)
+					copied := before[a.Conn]
+					before[a.Conn] = own
+					return target.Raw(copied+own, true)(c, a)
+				}, target.Reset())
+				for _, body := range []string{"one", "two", "three", "four"} {
+					if a := f.do("POST", path, body); a.body != body || a.status == 502 {
+						t.Errorf("status %d, %q, want the own answer %q", a.status, a.body, body)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestLateCopyOfRefusalWithoutID guards against a late copy of a refusal without an id that is taken for the answer to the next
 // request on its connection. Its caller would be told that the request has not run, while the target runs it.
 func TestLateCopyOfRefusalWithoutID(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,6 +21,8 @@
 	Body   []byte
 	// AtMostOnce restricts the request to connections that are new or have been idle for less than atMostOnceMaxIdle.
 	AtMostOnce bool
+	// NewConnection restricts the request to a connection that has carried no other one.
+	NewConnection bool
 	// MaySend is asked when the connection is open, immediately before the first byte is sent. If it returns false, the
 	// exchange fails with ErrMayNotSend and nothing is sent. It may be nil.
 	MaySend func() bool
@@ -84,6 +86,9 @@
 	if r.AtMostOnce {
 		maxIdle = atMostOnceMaxIdle
 	}
+	if r.NewConnection {
+		maxIdle = 0
+	}
 	c, err := p.get(ctx, addr, maxIdle)
 	if err != nil {
 		return nil, &Error{Err: err}
