platform: no other answer of the store is taken for the list of targets

The list, the configuration and watches shared kept connections, and the store's answers do not name their requests. An answer to a watch has a revision and no items, and reads as an empty list: no target would be left. As with engines, net/http takes a second copy of it if the next request has been written.

Change: one type Transport for the store and engines.

Evidence, with the list on kept connections: TestLateCopyOfWatch: list {Position:{Era:0 Revision:5} Targets:[] ...}, error <nil>, want the one of revision 6 with one key

The test of listwatch makes its client with NewTransport, as the daemon does. One of five runs of internal/node with -race failed beside a load of 35 to 50; the name of the test was not kept, and it has not failed since.

--- a/cmd/camphorbankd/platform.go
+++ b/cmd/camphorbankd/platform.go
@@ -43,13 +43,12 @@
 	logHandler := logline.New(os.Stdout)
 	defer logHandler.Close()
 	log.SetHandler(logHandler)
-	store, engines := platform.NewTransport(upstream.DialTimeout), platform.NewEngineTransport(upstream.DialTimeout)
+	transport := platform.NewTransport(upstream.DialTimeout)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return node.Run(ctx, s, node.Adapters{
-		HeaderTranslator: platform.HeaderTranslator{}, Source: platform.NewStoreClient(s.Store, store),
-		ReadinessHandler: platform.ReadyHandler,
-		Reload:           &node.Reloader{Load: load, Signal: reloadSignal},
-		Engine:           func(addr string) rankgroup.Engine { return platform.NewEngineClient(addr, engines) },
+		HeaderTranslator: platform.HeaderTranslator{}, Source: platform.NewStoreClient(s.Store, transport), ReadinessHandler: platform.ReadyHandler,
+		Reload: &node.Reloader{Load: load, Signal: reloadSignal},
+		Engine: func(addr string) rankgroup.Engine { return platform.NewEngineClient(addr, transport) },
 	})
 }
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -34,7 +33,8 @@
 	for i := range 5 { // more than one page
 		f.store.Put(fmt.Sprintf("servers/i-%d", i), entryValue("ready"))
 	}
-	w := &listwatch.Watcher{Source: platform.NewStoreClient(f.store.Addr(), &http.Transport{}), Targets: f.targets, Tables: f.tables,
+	source := platform.NewStoreClient(f.store.Addr(), platform.NewTransport(time.Second))
+	w := &listwatch.Watcher{Source: source, Targets: f.targets, Tables: f.tables,
 		Notify: func(e listwatch.Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -57,10 +57,10 @@
 	s.Seeds = append(seeds, s.Listen.Control)
 	ctx, stop := context.WithCancel(context.Background())
 	p := &entryProcess{t: t, settings: s, stop: stop, done: make(chan error, 1)}
-	store, engines := platform.NewTransport(upstream.DialTimeout), platform.NewEngineTransport(upstream.DialTimeout)
+	transport := platform.NewTransport(upstream.DialTimeout)
 	go func() {
-		p.done <- node.Run(ctx, s, node.Adapters{HeaderTranslator: platform.HeaderTranslator{}, Source: platform.NewStoreClient(storeAddr, store),
-			ReadinessHandler: platform.ReadyHandler, Engine: func(addr string) rankgroup.Engine { return platform.NewEngineClient(addr, engines) }})
+		p.done <- node.Run(ctx, s, node.Adapters{HeaderTranslator: platform.HeaderTranslator{}, Source: platform.NewStoreClient(storeAddr, transport),
+			ReadinessHandler: platform.ReadyHandler, Engine: func(addr string) rankgroup.Engine { return platform.NewEngineClient(addr, transport) }})
 	}()
 	t.Cleanup(func() {
 		stop()
