gateway: a refusal does not wait for the body of the request

A caller that was refused before its body was read (no route, unknown key, body too large) and sent the body byte by byte got its answer only when the body ended, and kept its connection as long as it went on: net/http reads up to 256 KB of the body before it sends the answer, without a time limit. The read deadline is now 0.5 s after a refusal. Before the change: TestRefusalNeedsNoBody (40.00s): stop_test.go:106: <nil>, read tcp ...: i/o timeout

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -80,6 +80,7 @@
 	service  string
 	account  *routetable.Account // nil if the route needs no key
 	body     []byte
+	bodyRead bool
 	memory   *membudget.Lease // of the body; nil if there is none
 	ctx      context.Context  // ends when the caller leaves or the deadline passes
 	deadline time.Time
@@ -176,7 +177,7 @@
 		x.record.setOutcome(OutcomeLeft, ReasonBody)
 		panic(http.ErrAbortHandler)
 	}
-	x.body = body
+	x.body, x.bodyRead = body, true
 	return true
 }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -9,8 +9,16 @@
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
 )
 
+// unreadBodyTime is the time for which the server reads the rest of a body that is not needed, before it sends the answer or,
+// if it is to close the connection, after that. If it closed the connection at once, a caller that still sends could lose the
+// answer.
+const unreadBodyTime = 500 * time.Millisecond
+
 // refuse answers a request that has not run and will not run. The caller may retry if retryAfter is not 0.
 func (x *exchange) refuse(status int, reason Reason, retryAfter time.Duration) {
+	if x.r.ContentLength != 0 && !x.bodyRead {
+		_ = setBodyDeadline(x.r, time.Now().Add(unreadBodyTime)) // an error means that the connection is closed
+	}
 	x.record.setOutcome(OutcomeRejected, reason)
 	if retryAfter > 0 {
 		x.record.setOutcome(OutcomeRefused, reason)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -133,13 +133,8 @@
 	return true
 }
 
-// unreadBodyTime is the time for which the server reads the rest of a body that is not needed. If it closed the connection
-// at once, a caller that still sends could lose the answer.
-const unreadBodyTime = 500 * time.Millisecond
-
 // refuseUnread refuses a request as not run before its body has been read.
 func (x *exchange) refuseUnread() {
-	_ = setBodyDeadline(x.r, time.Now().Add(unreadBodyTime)) // an error means that the connection is closed
 	x.w.Header().Set("Connection", "close")
 	x.refuse(http.StatusServiceUnavailable, ReasonStopping, unsentRetryAfter)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -8,6 +10,7 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/gateway"
+	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/test/standin/target"
 )
 
@@ -74,3 +77,36 @@
 		})
 	}
 }
+
+// TestRefusalNeedsNoBody guards against a refused caller that gets its answer only when its body ends, and keeps its
+// connection as long as it sends a byte now and then.
+func TestRefusalNeedsNoBody(t *testing.T) {
+	f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
+	c, err := net.Dial("tcp", limitedServer(t, f, routetable.Limits{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(rawCallerLimit))
+	_, _ = io.WriteString(c, "POST /none/x HTTP/1.1\r\nHost: test.example\r\n"+target.HeaderID+": req-1\r\nContent-Length: 1000\r\n\r\n")
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.WriteString(c, "x"); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
+	start := time.Now()
+	r := bufio.NewReader(c)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	<-ended
+	if d := time.Since(start); d > 5*time.Second {
+		t.Errorf("the connection ended after %v", d)
+	}
+}
