quarantine: entries without evidence probe unproven parts one after the other

No entry knew more than one or two crashes.

A process is now waking until targets have taken requests for 5 s since its start. If requests have waited for an opening in that time, one with a part with which no answer has begun is sent only as a probe: one at a time for each part and entry. Those that have waited take turns between entries, 0.4 s apart, in an order that all derive from the ids in their reports. Requests that wait too long get 503 with the reason prompt-unproven.

The simulation of the tests lets such requests wait as the gateway does, and counts sound ones that are held too long as refused.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,6 +50,9 @@
 	Priority  int                            // 0 is the most urgent
 	Exclude   map[targetset.Incarnation]bool // targets that have already failed this request
 	Targets   func() []*targetset.Target     // lists the targets of the service
+	// WaitsForOpening is called when the job begins to wait because no target of the service takes requests. It may be nil,
+	// and must neither block nor call the balancer.
+	WaitsForOpening func()
 }
 
 // engine returns the description of the service's engines, or nil for a service without model engines.
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -51,6 +51,15 @@
 	return reason
 }
 
+// block records why no target takes the waiter's request.
+func (w *waiter) block(reason Reason) {
+	before := w.blockedBy
+	w.blockedBy = blockedReason(reason)
+	if reason == ReasonClosed && before != ReasonClosed && len(w.job.Exclude) == 0 && w.job.WaitsForOpening != nil {
+		w.job.WaitsForOpening()
+	}
+}
+
 // queueOf returns the queue of a service. The caller holds the lock.
 func (b *Balancer) queueOf(service string) *queue {
 	q := b.queues[service]
@@ -102,7 +111,8 @@
 		b.mu.Unlock()
 		return nil, newRefusal(job, reason, quiet)
 	}
-	w := &waiter{job: job, lease: make(chan *Lease, 1), blockedBy: blockedReason(reason)}
+	w := &waiter{job: job, lease: make(chan *Lease, 1)}
+	w.block(reason)
 	q.insert(w)
 	b.mu.Unlock()
 	return b.awaitPlace(ctx, q, w)
@@ -230,7 +240,7 @@
 		d := demand{w.job.Service, w.job.EventGap, w.job.Returning}
 		shared := len(w.job.Exclude) == 0
 		if reason := blocked[d]; shared && reason != "" {
-			w.blockedBy = reason
+			w.block(reason)
 			i++
 			continue
 		}
@@ -241,12 +251,12 @@
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			continue
 		}
-		w.blockedBy = blockedReason(reason)
+		w.block(reason)
 		if w.blockedBy == "" {
 			return
 		}
 		if shared {
-			blocked[d] = w.blockedBy
+			blocked[d] = reason
 		}
 		i++
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,11 @@
 		lease.Done(balance.CallerLeft)
 		return false
 	}
+	x.prompt.TargetOpen()
+	if x.prompt.Unproven() != "" {
+		lease.Done(balance.CallerLeft)
+		return x.awaitProof()
+	}
 	t := lease.Target
 	started := time.Now()
 	x.prompt.Sent()
@@ -99,6 +104,8 @@
 		MaxWait: x.maxWait(),
 		Exclude: x.failedTargets,
 		Targets: func() []*targetset.Target { return x.g.Targets.Snapshot().ByService[x.service] },
+
+		WaitsForOpening: x.prompt.Waits,
 	}
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -23,6 +23,39 @@
 	return true
 }
 
+// proofPoll is the time after which a request that waits for its parts to be proven looks again.
+const proofPoll = 20 * time.Millisecond
+
+// awaitProof waits until the request may be sent although no answer with one of its parts has begun since the targets
+// opened, or one has. It reports whether another attempt follows; if not, the caller has its final answer or has left.
+func (x *exchange) awaitProof() bool {
+	if x.proofEnd.IsZero() {
+		x.proofEnd = x.record.Started.Add(x.maxWait())
+		if least := time.Now().Add(quarantine.ProofWait); least.After(x.proofEnd) {
+			x.proofEnd = least
+		}
+	}
+	tick := time.NewTicker(proofPoll)
+	defer tick.Stop()
+	for {
+		part := x.prompt.Unproven()
+		switch {
+		case part == "":
+			return true
+		case !time.Now().Before(x.proofEnd):
+			x.record.Part = part
+			x.giveUp(ReasonUnproven, x.refusedRetryAfter())
+			return false
+		}
+		select {
+		case <-tick.C:
+		case <-x.ctx.Done():
+			x.endOnContext()
+			return false
+		}
+	}
+}
+
 // recordCrash reports whether the target of an attempt has crashed before its answer had begun. If so, it records the
 // crash for the parts of the prompt.
 func (x *exchange) recordCrash(r result) bool {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -87,6 +87,7 @@
 	lease         *balance.Lease // place of the present attempt
 	failedTargets map[targetset.Incarnation]bool
 	prompt        *quarantine.Prompt // nil if the request states no shared parts of its prompt
+	proofEnd      time.Time          // time until which the request waits for its parts to be proven; zero if it has not
 	sends         int                // number of attempts in which bytes of the request were sent
 	retryTaken    bool               // a retry after the present attempt has been taken from the budget
 	headSent      bool               // the head of the answer was sent to the caller
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -40,6 +40,8 @@
 	// ReasonQuarantined means that engines crash under a part of the prompt, and ReasonSuspected that they may.
 	ReasonQuarantined Reason = "prompt-quarantined"
 	ReasonSuspected   Reason = "prompt-suspected"
+	// ReasonUnproven means that no answer with a part of the prompt has begun in time after the targets opened.
+	ReasonUnproven Reason = "prompt-unproven"
 )
 
 // Attempt describes one attempt at a target.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -52,13 +52,14 @@
 type serviceCounts struct {
 	requests float64 // older ones counted less
 	answers  int     // that have begun
+	opening  opening
 }
 
 // serviceOf returns the counts of a service.
 func (t *Tracker) serviceOf(service string) *serviceCounts {
 	s := t.services[service]
 	if s == nil {
-		s = &serviceCounts{}
+		s = &serviceCounts{opening: opening{since: t.started}}
 		t.services[service] = s
 	}
 	return s
--- a/internal/quarantine/memory_test.go
+++ b/internal/quarantine/memory_test.go
@@ -73,6 +73,8 @@
 		p := tr.Prompt(testService, []Part{"kind", "middle", Part(fmt.Sprintf("own-%d", n)), Part(fmt.Sprintf("session-%d", n/4))})
 		p.Blocked()
 		p.Blocked()
+		p.TargetOpen()
+		p.Unproven()
 		p.Sent()
 		p.Begun()
 		p.Done()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -60,8 +60,11 @@
 	unsettled   int // number of crashes that are not settled
 	recent      recentSuspects
 	quarantines map[Part]*quarantine
-	released    map[Part]time.Time // times at which quarantines ended because an answer had begun
-	id          uint32             // distinguishes the entries that impose quarantines
+	released    map[Part]time.Time   // times at which quarantines ended because an answer had begun
+	id          uint32               // distinguishes the entries that impose quarantines
+	started     time.Time            // of the process
+	probes      map[Part]*Prompt     // requests that were sent to prove a part after an opening
+	wakingPeers map[uint32]time.Time // times of the last reports of peers that were waking, by Tracker.id
 }
 
 // quarantine is the quarantine of a part. It remains after its end until an answer with the part has begun.
@@ -77,7 +80,8 @@
 // New returns a tracker. now is its clock.
 func New(now func() time.Time) *Tracker {
 	return &Tracker{now: now, services: map[string]*serviceCounts{}, histories: map[Part]*history{}, halved: now(), crashes: map[targetset.Incarnation]*crash{},
-		quarantines: map[Part]*quarantine{}, released: map[Part]time.Time{}, id: rand.Uint32()}
+		quarantines: map[Part]*quarantine{}, released: map[Part]time.Time{}, id: rand.Uint32(), started: now(),
+		probes: map[Part]*Prompt{}, wakingPeers: map[uint32]time.Time{}}
 }
 
 // Prompt tracks the shared parts of the prompt of one request. A nil Prompt has no parts.
@@ -88,6 +92,10 @@
 	begun   bool   // the answer has, at the engine to which the request was sent last
 	lost    bool   // an engine may have run the request, and its answer was lost
 	tests   []Part // quarantined parts that the request tests
+	waited  bool   // for targets to open
+	probes  []Part // unproven parts whose probe the request is
+
+	probeSent time.Time // zero if it has been no probe
 }
 
 // Prompt returns the prompt of a request to a service with the shared parts, or nil if there are none. Done must be called
@@ -252,12 +260,13 @@
 // Done ends the tracking of the request. A test whose answer was lost before it began has failed: the engine may have
 // crashed unnoticed.
 func (p *Prompt) Done() {
-	if p == nil || len(p.tests) == 0 {
+	if p == nil || len(p.tests)+len(p.probes) == 0 {
 		return
 	}
 	t := p.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p.endProbes()
 	for _, part := range p.tests {
 		if q := t.quarantines[part]; q != nil && q.testing == p {
 			q.testing = nil
@@ -343,6 +352,11 @@
 			delete(t.released, part)
 		}
 	}
+	for id, at := range t.wakingPeers {
+		if now.Sub(at) >= wakingPeerMaxAge {
+			delete(t.wakingPeers, id)
+		}
+	}
 	t.decayRequestCounts(now)
 }
 
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -31,6 +31,7 @@
 	Crashes     []CrashReport      `json:"c,omitempty"`
 	Begun       []BegunReport      `json:"b,omitempty"`
 	Quarantines []QuarantineReport `json:"q,omitempty"`
+	Waking      uint32             `json:"w,omitempty"` // id of a sender that may lack evidence since its start; 0 otherwise
 }
 
 // CrashReport is one crash of an engine.
@@ -41,8 +42,8 @@
 	Parts   []Part                `json:"p"`
 }
 
-// BegunReport states how long ago an answer with a part last began. It is sent for parts of reported crashes and for those
-// whose quarantines have ended.
+// BegunReport states how long ago an answer with a part last began. It is sent for parts of reported crashes, for those
+// whose quarantines have ended, and by waking entries for parts that others may wait to see proven.
 type BegunReport struct {
 	Part  Part  `json:"p"`
 	AgeMs int64 `json:"a"`
@@ -58,14 +59,17 @@
 }
 
 // Report returns the crashes of which this process learned recently and all quarantines. It returns nil if no crash and
-// no quarantine is stored.
+// no quarantine is stored and the process is not waking.
 func (t *Tracker) Report() *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.crashes)+len(t.quarantines)+len(t.released) == 0 {
+	r, now := &Report{}, t.now()
+	if t.isWaking(now) {
+		r.Waking = t.id
+	}
+	if len(t.crashes)+len(t.quarantines)+len(t.released) == 0 && r.Waking == 0 {
 		return nil
 	}
-	r, now := &Report{}, t.now()
 	begun := map[Part]bool{}
 	for engine, c := range t.crashes {
 		if now.Sub(c.lastUpdated) >= crashShareTime || len(r.Crashes) == maxReportedCrashes {
@@ -80,6 +84,9 @@
 	for part := range t.released {
 		begun[part] = true
 	}
+	for _, part := range t.provenParts(now) {
+		begun[part] = true
+	}
 	for part := range begun {
 		if at := t.historyOf(part).lastBegun; !at.IsZero() {
 			r.Begun = append(r.Begun, BegunReport{Part: part, AgeMs: now.Sub(at).Milliseconds()})
@@ -109,6 +116,9 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	if r.Waking != 0 {
+		t.wakingPeers[r.Waking] = now
+	}
 	for _, b := range r.Begun {
 		t.partBegun(b.Part, ago(b.AgeMs).Add(-maxTransitTime))
 	}
--- a/internal/quarantine/stormsim_test.go
+++ b/internal/quarantine/stormsim_test.go
@@ -62,7 +62,8 @@
 	prompt  *Prompt
 	bad     Part // part that crashes engines, if it has one
 	retried bool
-	engine  int // position among all engines
+	held    bool // it has waited for a part to be proven although a group was open
+	engine  int  // position among all engines
 	begins  time.Time
 	until   time.Time // end of its wait, or of its answer
 	lost    time.Time // time at which its stalled group loses it; zero if it does not
@@ -135,20 +136,25 @@
 	now := s.clock.now()
 	part, _ := r.prompt.Blocked()
 	open := s.openGroups()
-	if r.bad == "" && !r.retried && (len(open) > 0 || part != "") {
-		s.sound++
-		if part != "" {
-			s.refused++
-		}
-	}
 	switch {
 	case part != "":
+		s.countSound(r, true)
 		r.prompt.Done()
 		return
 	case len(open) == 0:
+		if s.queueTime > 0 {
+			r.prompt.Waits()
+		}
+		s.waiting = append(s.waiting, r)
+		return
+	}
+	r.prompt.TargetOpen()
+	if r.prompt.Unproven() != "" {
+		s.hold(r)
 		s.waiting = append(s.waiting, r)
 		return
 	}
+	s.countSound(r, false)
 	if r.bad != "" {
 		s.reached[r.bad] = append(s.reached[r.bad], now)
 	}
@@ -158,6 +164,25 @@
 	s.running = append(s.running, r)
 }
 
+// hold lets a request wait for its parts to be proven.
+func (s *storm) hold(r *request) {
+	if latest := s.clock.now().Add(ProofWait); !r.held && latest.After(r.until) {
+		r.until = latest
+	}
+	r.held = true
+}
+
+// countSound counts a sound request that was sent or refused for the first time.
+func (s *storm) countSound(r *request, refused bool) {
+	if r.bad != "" || r.retried {
+		return
+	}
+	s.sound++
+	if refused {
+		s.refused++
+	}
+}
+
 func (s *storm) openGroups() (open []int) {
 	for g, until := range s.closed {
 		if !s.clock.now().Before(until) {
@@ -267,7 +292,8 @@
 	}
 }
 
-// placeWaiting sends the waiting requests once a group is open, and drops those that have waited for too long.
+// placeWaiting sends the waiting requests once a group is open, and drops those that have waited for too long. Those that
+// were held back while a group was open count as refused.
 func (s *storm) placeWaiting() {
 	if len(s.waiting) == 0 {
 		return
@@ -275,10 +301,14 @@
 	all, open := s.waiting, len(s.openGroups()) > 0
 	s.waiting = nil
 	for _, r := range all {
+		late := s.clock.now().After(r.until)
 		switch {
+		case late && r.held:
+			s.countSound(r, true)
+			r.prompt.Done()
 		case open:
 			s.place(r)
-		case s.clock.now().After(r.until):
+		case late:
 			r.prompt.Done()
 		default:
 			s.waiting = append(s.waiting, r)
