--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,7 +98,7 @@
 }
 
 // restartSeeds are the seeds of the test of restarts of all processes. Engines ignore fencing numbers with seed 7 only. Seeds
-// 25 and 49 failed in one of two runs each, when a coordinator disarmed ranks and released the hold although the report of a
+// 25 and 49 failed in some runs, when a coordinator disarmed ranks and released the hold although the report of a
 // rank was older than the switch.
 var restartSeeds = []uint64{7, 25, 49}
 
