targetset: peers learn of a target that has not registered again, however late

A reader of the list keeps a removed target for 2.2 s after an outage. A peer that fetches the list in that time and then hears nothing for 15 s kept it in use until the next change of the list: the removal does not change the position by which lists are compared, and the leave was no longer sent. It is now sent until the list changes.

TestExpiredTargetIsRemovedAtPeer failed before: 2 targets in use at the peer, 1 at the entry that reads the list, both at the same position.

--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -156,6 +156,8 @@
 	learned  time.Time // when this process first learned of it
 	// final means that the target has said in an answer that it leaves, which no entry cancels.
 	final bool
+	// expired means that Expire has removed the target, without a change of the list.
+	expired bool
 	// change is the value of Set.leaveChanges at the last change of this leave.
 	change int64
 }
@@ -171,7 +173,8 @@
 
 // leaveShareTime is the time for which the leave of a target that is not listed is sent to peers. After it, they have removed
 // the target themselves. The leave of a listed target is sent as long as it is listed, since the list need not say that the
-// target leaves, and an entry may start at any time.
+// target leaves, and an entry may start at any time. The leave of a target that has not registered again after an outage is sent until
+// the list changes, since peers at the same position of the list learn of it in no other way.
 const leaveShareTime = 15 * time.Second
 
 // Leave applies leaves that a peer has seen, except those that a later entry of the list cancels.
@@ -225,7 +228,7 @@
 		return nil, after
 	}
 	for i, l := range s.leaves {
-		if l.change > after && (s.isListed(i) || now.Sub(l.learned) < leaveShareTime) {
+		if l.change > after && (s.isListed(i) || now.Sub(l.learned) < leaveShareTime || l.expired && l.position == s.position) {
 			out = append(out, Leave{i, l.position, l.final})
 		}
 	}
@@ -295,6 +298,9 @@
 		}
 		t := s.listed[id]
 		s.recordLeave(t.Incarnation(), s.position, false)
+		l := s.leaves[t.Incarnation()]
+		l.expired = true
+		s.leaves[t.Incarnation()] = l
 		delete(s.listed, id)
 		delete(s.removalDue, id)
 		changed = true
