--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,9 +45,9 @@
 		lease.Done(balance.CallerLeft)
 		return !x.refuseStopping()
 	}
-	if x.refuseQuarantined() { // a part may have been quarantined during the wait
-		lease.Done(balance.CallerLeft)
-		return false
+	if part, _ := x.prompt.Blocked(); part != "" { // quarantined during the wait
+		lease.Done(balance.CallerLeft) // before the refusal, which ends the handler if the answer has begun
+		return !x.refuseQuarantined()
 	}
 	x.prompt.TargetOpen()
 	if x.prompt.Unproven() != "" {
