rankgroup: a recovery that could not read all ranks is begun again

A recovery whose reading failed had its new fencing numbers in force, and the next round went on without a recovery if no leftover could be seen, which an old report may hide. The next map could not be loaded then, but a recovery belongs before it.

--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -39,11 +39,11 @@
 
 // ReadRequest asks for the state of a rank.
 type ReadRequest struct {
-	Coordinator  int   `json:"c"` // rank of the coordinator that sends the request
-	HaveSnapshot int64 `json:"h"` // number of the last snapshot that the coordinator has received; 0 for none
-	StatusOnly   bool  `json:"o"` // do not read the counts
-	Present      bool  `json:"p"` // the status decides what to order: read it with Engine.PresentStatus
-	Layers       int   `json:"l"` // number of layers of the counts
+	Coordinator  int   `json:"c"`           // rank of the coordinator that sends the request
+	HaveSnapshot int64 `json:"h"`           // number of the last snapshot that the coordinator has received; 0 for none
+	StatusOnly   bool  `json:"o"`           // do not read the counts
+	Present      bool  `json:"p,omitempty"` // the status decides what to order: read it with Engine.PresentStatus
+	Layers       int   `json:"l"`           // number of layers of the counts
 }
 
 // ReadReply is the state of a rank.
@@ -220,7 +220,7 @@
 	return true
 }
 
-// sendOnce makes one attempt to send an order, which attempts before it have not been answered.
+// sendOnce makes one attempt to send an order, after a number of attempts that were not answered.
 func (a *Agent) sendOnce(ctx context.Context, o Order, before int64) error {
 	a.mu.Lock()
 	limit := a.pace.timeout(before)
--- a/internal/rankgroup/recovery.go
+++ b/internal/rankgroup/recovery.go
@@ -27,11 +27,9 @@
 	}
 	c.divideRanks()
 	epoch := c.epoch
-	if !c.readPresent(ctx) {
-		return false
-	}
-	if c.epoch != epoch || c.lagged[c.opt.Rank] || c.versionsSuperseded() {
-		c.needsNewTerm = true // the term is not in force in this epoch, the own rank is elsewhere, or there is a later term
+	read := c.readPresent(ctx)
+	if !read || c.epoch != epoch || c.lagged[c.opt.Rank] || c.versionsSuperseded() {
+		c.needsNewTerm = true // not all ranks are known, the group was formed again, the own rank is elsewhere, or there is a later term
 		return false
 	}
 	c.opt.Notify(Event{Kind: EventRecovery, Epoch: c.epoch, Recovery: c.recovery(results)})
--- a/internal/rankgroup/relay.go
+++ b/internal/rankgroup/relay.go
@@ -11,12 +11,12 @@
 // BranchReadRequest asks a relay to read several ranks.
 type BranchReadRequest struct {
 	Ranks         []int   `json:"r"`
-	Coordinator   int     `json:"c"` // rank of the coordinator that sends the request
-	HaveSnapshots []int64 `json:"h"` // by Ranks; see ReadRequest.HaveSnapshot
-	StatusOnly    bool    `json:"o"` // do not read the counts
-	Present       bool    `json:"p"` // see ReadRequest.Present
-	Layers        int     `json:"l"` // number of layers of the counts
-	Experts       int     `json:"x"` // number of experts in each layer of the counts
+	Coordinator   int     `json:"c"`           // rank of the coordinator that sends the request
+	HaveSnapshots []int64 `json:"h"`           // by Ranks; see ReadRequest.HaveSnapshot
+	StatusOnly    bool    `json:"o"`           // do not read the counts
+	Present       bool    `json:"p,omitempty"` // see ReadRequest.Present
+	Layers        int     `json:"l"`           // number of layers of the counts
+	Experts       int     `json:"x"`           // number of experts in each layer of the counts
 }
 
 // BranchReadReply is the state of the ranks that a relay has read.
