rankgroup: an order to load a map is not repeated early

Attempts paced by answers would repeat an order to load a map whose answer takes longer than 10 ms, as that for a large group on a busy VM may. The engine refuses to load a version twice, so the order would count as refused and the map never be loaded, and the refusals, which come at once, would keep the pace short.

TestSlowOrderToLoadIsNotRepeated failed before: done, <nil> after 5 attempts; want done after 1.

--- a/internal/rankgroup/agent.go
+++ b/internal/rankgroup/agent.go
@@ -222,17 +222,25 @@
 
 // sendOnce makes one attempt to send an order, after a number of attempts that were not answered.
 func (a *Agent) sendOnce(ctx context.Context, o Order, before int64) error {
-	a.mu.Lock()
-	limit := a.pace.timeout(before)
-	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, a.attemptTimeout(o.Op, before))
 	defer cancel()
 	start := time.Now()
 	err := a.engine.Order(ctx, o)
-	if isAnswer(err) {
+	if isAnswer(err) && o.Op != OpPrepare {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.pace.observe(time.Since(start))
 	}
 	return err
 }
+
+// attemptTimeout returns the wait for the answer to an attempt. No group is held while a map is ordered to be loaded, and an engine
+// refuses to load a version twice, so that another attempt would turn a late answer into a refusal.
+func (a *Agent) attemptTimeout(op Operation, before int64) time.Duration {
+	if op == OpPrepare {
+		return maxAttemptTimeout
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pace.timeout(before)
+}
--- a/internal/rankgroup/attemptpace_test.go
+++ b/internal/rankgroup/attemptpace_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// TestSlowOrderToLoadIsNotRepeated guards against a map that is never loaded, because an engine needs some time to answer the order:
+// an engine refuses to load a version twice.
+func TestSlowOrderToLoadIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := silentEngine{answerTime: 40 * time.Millisecond}
+		a := NewAgent(&engine, 0)
+		reply, err := a.Order(t.Context(), OrderRequest{Order: Order{Op: OpPrepare}, TimeoutMs: prepareTimeout.Milliseconds()})
+		if err != nil || reply.Result != ResultDone || engine.attempts != 1 {
+			t.Errorf("%v, %v after %d attempts, want done after 1", reply.Result, err, engine.attempts)
+		}
+	})
+}
+
 // TestAttemptPaceFollowsAnswers guards against orders to an engine whose answers have become slow that are given up and sent again
 // each time, and against a wait that stays long after a single slow answer.
 func TestAttemptPaceFollowsAnswers(t *testing.T) {
