expertmap: experts that were added and dropped again do not count as loaded

The planner counted each addition, also of an expert that a later change of the same increment dropped again, so that coordinators waited for loads that did not happen. The result now counts what the new map holds and the old one did not.

--- a/internal/expertmap/incremental.go
+++ b/internal/expertmap/incremental.go
@@ -52,10 +52,10 @@
 	out := IncrementResult{Before: s.imbalance()}
 	s.run()
 	out.After = s.imbalance()
-	for r := range s.loadBudget {
-		used := in.MaxLoadsPerRank - s.loadBudget[r]
-		out.Loaded += used
-		out.MaxPerRank = max(out.MaxPerRank, used)
+	for r := range in.Shape.Ranks {
+		loaded := s.loadedBy(r)
+		out.Loaded += loaded
+		out.MaxPerRank = max(out.MaxPerRank, loaded)
 	}
 	for _, l := range s.layers {
 		out.Map.Slots = append(out.Map.Slots, l.experts)
@@ -73,6 +73,19 @@
 	return s.imbalance()
 }
 
+// loadedBy returns the number of experts that a rank loads for the changes. One that was added and dropped again is not loaded.
+func (s *incrementSearch) loadedBy(rank int) int {
+	n := 0
+	for _, l := range s.layers {
+		for _, e := range l.experts[rank] {
+			if !slices.Contains(l.initial[rank], e) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 type incrementSearch struct {
 	in         Increment
 	loadBudget []int // number of experts that each rank may still load
