expertmap: an increment that does not help is not made

The search follows an approximation of the imbalance, which may allow changes that raise it a little. Such an increment is now discarded.

--- a/internal/expertmap/incremental.go
+++ b/internal/expertmap/incremental.go
@@ -52,6 +52,9 @@
 	out := IncrementResult{Before: s.imbalance()}
 	s.run()
 	out.After = s.imbalance()
+	if out.After > out.Before { // the search follows an approximation of the imbalance
+		return IncrementResult{Map: in.Current, Before: out.Before, After: out.Before}
+	}
 	for r := range in.Shape.Ranks {
 		loaded := s.loadedBy(r)
 		out.Loaded += loaded
