--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -127,6 +127,7 @@
 // TestNoStepWithTwoMaps guards against a step in which two ranks use different maps. Orders are carried out late,
 // coordinators are killed and restarted in any phase, two of them run at once, and ranks are unreachable for some time.
 func TestNoStepWithTwoMaps(t *testing.T) {
+	t.Parallel()
 	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, false, 80, 20) })
 	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, false, 12, 4) })
 }
@@ -134,6 +135,7 @@
 // TestNoStepWithTwoMapsFromCopiesOfReports guards against a new term that decides on an earlier report of an engine, which the
 // engine has sent once more when the present one was due.
 func TestNoStepWithTwoMapsFromCopiesOfReports(t *testing.T) {
+	t.Parallel()
 	size := smallSize
 	size.copiesReports = true
 	checkNoStepWithTwoMaps(t, size, false, 20, 8)
@@ -141,6 +143,7 @@
 
 // TestNoStepWithTwoMapsUnfenced guards against the same with engines that ignore fencing numbers.
 func TestNoStepWithTwoMapsUnfenced(t *testing.T) {
+	t.Parallel()
 	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) })
 	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, true, 12, 4) })
 }
@@ -149,6 +152,7 @@
 // engines past the agents of the ranks, and pause between a decision and its order. Only the engines can then refuse the
 // orders of the other coordinator. It also guards against a group that stays held after one of the two has ended.
 func TestNoStepWithTwoMapsOfTwoCoordinators(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(60)
 	if testing.Short() {
 		seeds = 10
@@ -323,6 +327,7 @@
 // TestMissingFencingIsDetected shows that the runs of TestNoStepWithTwoMaps can find orders that are carried out late:
 // with engines that ignore fencing numbers, and coordinators that do not know it, some steps have two maps.
 func TestMissingFencingIsDetected(t *testing.T) {
+	t.Parallel()
 	broken := 0
 	for seed := uint64(0); seed < 400 && broken == 0; seed++ {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/rankgroup/lag_test.go
+++ b/internal/rankgroup/lag_test.go
@@ -17,6 +17,7 @@
 // for the engine's present state. The report is as old as the report lag, so that an engine that has just been armed does
 // not seem to be, and is not disarmed before the hold is released.
 func TestNoStepWithTwoMapsFromOldReports(t *testing.T) {
+	t.Parallel()
 	for name, size := range map[string]testSize{
 		"lag of 100 ms": laggedSize(smallSize, 100*time.Millisecond),
 		"lag of 200 ms": laggedSize(smallSize, 200*time.Millisecond),
--- a/internal/rankgroup/large_test.go
+++ b/internal/rankgroup/large_test.go
@@ -25,6 +25,7 @@
 // each of them: with 96 ranks on links of 6 Mbit/s, a change of the map then takes longer than popularity stays the
 // same. The load is one in which the popular experts change every two seconds.
 func TestLargeGroupFollowsShifts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const shifts, interval = 9, 2 * time.Second
 		f := newTestFleet(t, 1, largeSize)
--- a/internal/rankgroup/lists_test.go
+++ b/internal/rankgroup/lists_test.go
@@ -9,6 +9,7 @@
 // TestNoExpertLostFromOldLists guards against a map that leaves out an expert: a coordinator that has just started puts the map in
 // use together from the lists of the ranks, and those read from another VM may be of a time before the last switch.
 func TestNoExpertLostFromOldLists(t *testing.T) {
+	t.Parallel()
 	const seeds = 10
 	checkSeeds(t, agedSize(smallSize, 200*time.Millisecond), false, seeds, func(f *testFleet, seed uint64) {
 		f.g.Late = []float64{0, 0.1, 0.3}[seed%3]
--- a/internal/rankgroup/restart_test.go
+++ b/internal/rankgroup/restart_test.go
@@ -24,6 +24,7 @@
 // than it believes. All processes of the group are killed while the ranks are being armed. The first one that is started again
 // reads the engines of the other ranks over the network, where their reports may be of any time before the kill.
 func TestNoStepWithTwoMapsAfterRestartOfAllProcesses(t *testing.T) {
+	t.Parallel()
 	for name, maxAge := range map[string]time.Duration{
 		"reports up to 200 ms old":    200 * time.Millisecond,
 		"reports up to 1 s old":       time.Second,
