--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -128,8 +128,14 @@
 // coordinators are killed and restarted in any phase, two of them run at once, and ranks are unreachable for some time.
 func TestNoStepWithTwoMaps(t *testing.T) {
 	t.Parallel()
-	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, false, 80, 20) })
-	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, false, 12, 4) })
+	t.Run("small group", func(t *testing.T) {
+		t.Parallel()
+		checkNoStepWithTwoMaps(t, smallSize, false, 80, 20)
+	})
+	t.Run("with relays", func(t *testing.T) {
+		t.Parallel()
+		checkNoStepWithTwoMaps(t, relayedSize, false, 12, 4)
+	})
 }
 
 // TestNoStepWithTwoMapsFromCopiesOfReports guards against a new term that decides on an earlier report of an engine, which the
@@ -144,8 +150,14 @@
 // TestNoStepWithTwoMapsUnfenced guards against the same with engines that ignore fencing numbers.
 func TestNoStepWithTwoMapsUnfenced(t *testing.T) {
 	t.Parallel()
-	t.Run("small group", func(t *testing.T) { checkNoStepWithTwoMaps(t, smallSize, true, 200, 20) })
-	t.Run("with relays", func(t *testing.T) { checkNoStepWithTwoMaps(t, relayedSize, true, 12, 4) })
+	t.Run("small group", func(t *testing.T) {
+		t.Parallel()
+		checkNoStepWithTwoMaps(t, smallSize, true, 200, 20)
+	})
+	t.Run("with relays", func(t *testing.T) {
+		t.Parallel()
+		checkNoStepWithTwoMaps(t, relayedSize, true, 12, 4)
+	})
 }
 
 // TestNoStepWithTwoMapsOfTwoCoordinators guards against the same while two coordinators are active all the time, reach the
--- a/internal/rankgroup/lag_test.go
+++ b/internal/rankgroup/lag_test.go
@@ -26,7 +26,10 @@
 		"lag of 400 ms": laggedSize(smallSize, 400*time.Millisecond),
 	} {
 		for engines, unfenced := range map[string]bool{"": false, ", unfenced": true} {
-			t.Run(name+engines, func(t *testing.T) { checkNoStepWithOldReports(t, size, unfenced) })
+			t.Run(name+engines, func(t *testing.T) {
+				t.Parallel()
+				checkNoStepWithOldReports(t, size, unfenced)
+			})
 		}
 	}
 }
--- a/internal/rankgroup/restart_test.go
+++ b/internal/rankgroup/restart_test.go
@@ -30,10 +30,19 @@
 		"reports up to 1 s old":       time.Second,
 		"reports older than any kill": 4 * time.Second,
 	} {
-		t.Run(name, func(t *testing.T) { checkRestarts(t, agedSize(smallSize, maxAge), false, 8, 6) })
-		t.Run(name+", unfenced", func(t *testing.T) { checkRestarts(t, agedSize(smallSize, maxAge), true, 8, 6) })
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRestarts(t, agedSize(smallSize, maxAge), false, 8, 6)
+		})
+		t.Run(name+", unfenced", func(t *testing.T) {
+			t.Parallel()
+			checkRestarts(t, agedSize(smallSize, maxAge), true, 8, 6)
+		})
 	}
-	t.Run("with relays", func(t *testing.T) { checkRestarts(t, agedSize(relayedSize, time.Second), false, 2, 2) })
+	t.Run("with relays", func(t *testing.T) {
+		t.Parallel()
+		checkRestarts(t, agedSize(relayedSize, time.Second), false, 2, 2)
+	})
 }
 
 // agedSize is a group of engines whose reports to other VMs are of any age up to maxAge.
