--- a/internal/adapter/enginehttp/model.go
+++ b/internal/adapter/enginehttp/model.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
 )
 
@@ -59,18 +59,12 @@
 		return err
 	}
 	defer res.Body.Close()
-	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxCommandReplyBytes))
-	switch {
-	case err != nil:
-		return fmt.Errorf("engine: response to a command is incomplete: %w", err)
-	case n == maxCommandReplyBytes:
-		return errLongResponse
+	if _, err := httpclient.ReadReply(res.Body, maxCommandReplyBytes); err != nil {
+		return fmt.Errorf("engine: command: %w", err)
 	}
 	return nil
 }
 
-var errLongResponse = errors.New("engine: response to a command is too long")
-
 // doModelRequest sends a request to the engine's model interface. A status other than 2xx is an error.
 func (c *Client) doModelRequest(ctx context.Context, method, path string, fence int64, body any) (*http.Response, error) {
 	raw, err := json.Marshal(body)
--- a/internal/adapter/rankhttp/rankhttp.go
+++ b/internal/adapter/rankhttp/rankhttp.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -126,7 +125,7 @@
 	defer res.Body.Close()
 	switch {
 	case res.StatusCode == http.StatusConflict:
-		reason, err := readCommandReply(res.Body)
+		reason, err := httpclient.ReadReply(res.Body, maxCommandReplyBytes)
 		if err != nil {
 			return err
 		}
@@ -134,23 +133,8 @@
 	case res.StatusCode >= http.StatusMultipleChoices:
 		return fmt.Errorf("%s %s: %s", method, path, res.Status)
 	case result == nil:
-		_, err := readCommandReply(res.Body)
+		_, err := httpclient.ReadReply(res.Body, maxCommandReplyBytes)
 		return err
 	}
 	return json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(result)
 }
-
-var errLongReply = errors.New("reply to a command is too long")
-
-// readCommandReply reads the whole reply to a command. Bytes of a faulty engine that only begin like a reply say nothing about
-// the command, so that an error leaves its outcome open.
-func readCommandReply(body io.Reader) ([]byte, error) {
-	reply, err := io.ReadAll(io.LimitReader(body, maxCommandReplyBytes))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("reply to a command is incomplete: %w", err)
-	case len(reply) == maxCommandReplyBytes:
-		return nil, errLongReply
-	}
-	return reply, nil
-}
