--- a/internal/rankgroup/lists_test.go
+++ b/internal/rankgroup/lists_test.go
@@ -12,7 +12,7 @@
 	t.Parallel()
 	const seeds = 10
 	checkSeeds(t, agedSize(smallSize, 200*time.Millisecond), false, seeds, func(f *testFleet, seed uint64) {
-		f.g.Late = []float64{0, 0.1, 0.3}[seed%3]
+		f.g.Late = lateShareOfRestarts(seed)
 		ctx, cancel := context.WithCancel(context.Background())
 		go f.checkExpertsHeld(ctx, seed)
 		f.runRestarts(seed, restartSpan)
--- a/internal/rankgroup/restart_test.go
+++ b/internal/rankgroup/restart_test.go
@@ -56,11 +56,14 @@
 		seeds = shortSeeds
 	}
 	checkSeeds(t, size, unfenced, seeds, func(f *testFleet, seed uint64) {
-		f.g.Late = []float64{0, 0.1, 0.3}[seed%3]
+		f.g.Late = lateShareOfRestarts(seed)
 		f.runRestarts(seed, restartSpan)
 	})
 }
 
+// lateShareOfRestarts is the share of orders that are carried out late in the run with a seed.
+func lateShareOfRestarts(seed uint64) float64 { return []float64{0, 0.1, 0.3}[seed%3] }
+
 // runRestarts kills all processes of the group again and again while ranks are being armed, then lets the group recover. It fails
 // the test if the group is still held after that.
 func (f *testFleet) runRestarts(seed uint64, span time.Duration) {
@@ -143,7 +146,7 @@
 		f.g.Unfenced = os.Getenv("TRACE_UNFENCED") != ""
 		f.unfenced = f.g.Unfenced
 		f.traceTo(t)
-		f.g.Late = []float64{0, 0.1, 0.3}[seed%3]
+		f.g.Late = lateShareOfRestarts(seed)
 		f.runRestarts(seed, restartSpan)
 		f.checkNoMixedStep(seed)
 	})
