gateway: limit requests to the regions of their route and account

The entry now passes only the targets in allowed regions to the balancer, which all attempts use. A data centre whose region the settings do not state is in none. Without a target inside, a request is refused at once (targets-outside-regions). A limited request that waits does not hold up requests whose targets have free places.

Tests with -race: those of regions, limits and evacuation in gateway, balance and platform pass; the other tests of gateway and platform were not run again.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -39,6 +39,8 @@
 	ReasonQuiet Reason = "targets-quiet"
 	// ReasonEvacuated means that the data centres of all targets are evacuated.
 	ReasonEvacuated Reason = "targets-evacuated"
+	// ReasonOutside means that no target is in a region to which the request is limited.
+	ReasonOutside Reason = "targets-outside-regions"
 )
 
 // Job describes a request that needs a target.
@@ -52,6 +54,9 @@
 	Priority  int                            // 0 is the most urgent
 	Exclude   map[targetset.Incarnation]bool // targets that have already failed this request
 	Targets   func() []*targetset.Target     // lists the targets of the service
+	// Limit is a name of what limits Targets to a part of the service's, such as regions; empty if nothing does. Jobs of one
+	// service with the same Limit have the same targets.
+	Limit string
 	// NoTargets returns the reason why Targets lists none. It may be nil, for ReasonNoTargets, and must neither block nor call
 	// the balancer.
 	NoTargets func() Reason
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -55,6 +55,9 @@
 func (w *waiter) block(reason Reason) {
 	before := w.blockedBy
 	w.blockedBy = blockedReason(reason)
+	if reason == ReasonFull && w.job.Limit != "" {
+		w.blockedBy = reason // other requests may have targets with free places
+	}
 	if reason == ReasonClosed && before != ReasonClosed && len(w.job.Exclude) == 0 && w.job.WaitsForOpening != nil {
 		w.job.WaitsForOpening()
 	}
@@ -232,6 +235,7 @@
 	service   *routetable.Service
 	eventGap  time.Duration
 	returning bool
+	limit     string // Job.Limit
 }
 
 // dispatchQueue gives free places to the requests of one queue in their order until no place is left. It skips requests
@@ -241,7 +245,7 @@
 	blocked := map[demand]Reason{}
 	for i := 0; i < len(q.waiting); {
 		w := q.waiting[i]
-		d := demand{w.job.Service, w.job.EventGap, w.job.Returning}
+		d := demand{w.job.Service, w.job.EventGap, w.job.Returning, w.job.Limit}
 		shared := len(w.job.Exclude) == 0
 		if reason := blocked[d]; shared && reason != "" {
 			w.block(reason)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,17 +108,22 @@
 		Remaining: time.Until(x.deadline), Returning: x.returning(),
 		MaxWait:   x.maxWait(),
 		Exclude:   x.failedTargets,
-		Targets:   func() []*targetset.Target { return x.g.Targets.Snapshot().ByService[x.service] },
+		Targets:   func() []*targetset.Target { return x.allowed(x.g.Targets.Snapshot().ByService[x.service]) },
 		NoTargets: x.noTargets,
+		Limit:     x.regionLimit(),
 
 		WaitsForOpening: x.prompt.Waits,
 	}
 }
 
-// noTargets returns the reason why the service has no targets at present.
+// noTargets returns the reason why the request has no targets at present.
 func (x *exchange) noTargets() balance.Reason {
-	if len(x.g.Targets.Snapshot().SetAside[x.service]) > 0 {
+	list := x.g.Targets.Snapshot()
+	switch {
+	case len(x.allowed(list.SetAside[x.service])) > 0:
 		return balance.ReasonEvacuated
+	case len(list.SetAside[x.service])+len(list.ByService[x.service]) > 0:
+		return balance.ReasonOutside
 	}
 	return balance.ReasonNoTargets
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -17,7 +17,7 @@
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Bodies, Observe and Stop are
+// Gateway is the HTTP handler for the requests of callers. All fields but Quarantine, Bodies, Observe, Stop and Regions are
 // required.
 type Gateway struct {
 	HeaderTranslator HeaderTranslator
@@ -30,6 +30,7 @@
 	Bodies           *membudget.Budget   // memory for the bodies of requests in progress; nil for no bound
 	Observe          func(*Record)       // receives the record of each request when it has ended; must not block
 	Stop             *Stop               // the planned stop of the process; nil if there is none
+	Regions          map[string]string   // region of each data centre
 
 	runTimes runTimes
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -160,6 +160,7 @@
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
 		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.bodies, Observe: e.observe, Stop: e.stopping,
+		Regions: e.settings.Regions,
 	})
 	server.ErrorLog = serverLog
 	return server
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,9 +27,10 @@
 	Role        Role
 	IP          string
 	DataCentre  string
-	Ports       PortRange // for traffic between processes of camphorbank
-	Seeds       []string  // control addresses of some entries, possibly stale
-	FirstStart  bool      // no camphorbank process has run in this deployment before
+	Regions     map[string]string // region of each data centre; one that is missing is in no known region
+	Ports       PortRange         // for traffic between processes of camphorbank
+	Seeds       []string          // control addresses of some entries, possibly stale
+	FirstStart  bool              // no camphorbank process has run in this deployment before
 	Listen      Listen
 	LocalEngine string // address of the engine on the same VM; empty if there is none
 	Bounds      DeploymentLimits
--- a/internal/routetable/config.go
+++ b/internal/routetable/config.go
@@ -38,6 +38,8 @@
 	MaxAttempts int           `json:"max_attempts"` // targets to which one attempt of the client may be sent
 	Public      bool          `json:"public"`       // requests need no key
 	Resumable   bool          `json:"resumable"`    // a broken stream may resume at another target after its last event
+	// Regions are the regions whose targets the requests may reach; empty for no limit. A limit of the account applies too.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Backend is a service that receives a share of a route's requests.
@@ -97,6 +99,8 @@
 	Name     string   `json:"name"`
 	Keys     []string `json:"keys"`
 	Priority *int     `json:"priority"` // takes precedence over the route's; nil if unstated
+	// Regions are the regions whose targets the account's requests may reach; empty for no limit.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Limits bounds the sizes and times of what a client sends.
