--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -80,6 +80,7 @@
 	e.quarantine = quarantine.New(time.Now)
 	e.quarantine.Notify = logQuarantine
 	e.retries = retry.NewFleetBudget(retryAllowance(s.Bounds), s.FirstStart, time.Now)
+	e.targets.Notify = e.logEvacuation
 	e.watcher = &listwatch.Watcher{Source: a.Source, Targets: e.targets, Tables: e.tables, Notify: logPlatform}
 	e.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano(), DataCentre: s.DataCentre},
@@ -159,6 +160,7 @@
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
 		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.bodies, Observe: e.observe, Stop: e.stopping,
+		Regions: e.settings.Regions,
 	})
 	server.ErrorLog = serverLog
 	return server
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,9 +27,10 @@
 	Role        Role
 	IP          string
 	DataCentre  string
-	Ports       PortRange // for traffic between processes of camphorbank
-	Seeds       []string  // control addresses of some entries, possibly stale
-	FirstStart  bool      // no camphorbank process has run in this deployment before
+	Regions     map[string]string // region of each data centre; one that is missing is in no known region
+	Ports       PortRange         // for traffic between processes of camphorbank
+	Seeds       []string          // control addresses of some entries, possibly stale
+	FirstStart  bool              // no camphorbank process has run in this deployment before
 	Listen      Listen
 	LocalEngine string // address of the engine on the same VM; empty if there is none
 	Bounds      DeploymentLimits
@@ -79,4 +80,7 @@
 	RetrySlack    float64       // retries allowed in addition in each window, by all processes together
 	RetryWindow   time.Duration // length of the sliding window in which retries are counted
 	FencingChecks bool          // engines reject orders with an outdated fencing number
+	// Evacuation is the limit from the start of the evacuation of a data centre until the last request to its targets. It is 0
+	// if the operator of the deployment does not evacuate data centres.
+	Evacuation time.Duration
 }
