coldstart: limit the requests to targets that are cold or may be

Cause: a target that starts during traffic, or becomes cold again, fails above the rate that its service states. Nothing limited that rate, and the scores prefer such a target, since it is idle.

Change: a package of its own decides whether a target may get one more request. Each entry keeps to its share of the deployment's bound, by the number of entries that it knows, for every target of a service that states a rate; targets known to be cold get the entry's share of that rate, evenly spaced and growing. The balancer skips a target at its limit, and requests are counted again immediately before they are sent if their connection opened late. Signs are the target's entry, the header of an answer and a later start time. Services without a rate keep no state.

Shares below one request a second are kept by turns at random times: one request in a longer interval, tried first, let 360 entries send 360 requests at the same moment (bound 56) in the test of a large fleet.

Result: tests of the limit without a network, by load and failure. Each rule was removed in turn, and a test failed each time; a fleet of 20 entries that restarts at once sends 60 requests in a second without the pause after a start, where 56 are allowed.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/coldstart"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -37,6 +38,9 @@
 	ReasonClosed Reason = "targets-closed"
 	// ReasonQuiet means that each target that is not avoided or closed wants no requests from this process at present.
 	ReasonQuiet Reason = "targets-quiet"
+	// ReasonCold means that each target with a free place has got as many requests as it may get while it is cold, or may
+	// have become cold.
+	ReasonCold Reason = "targets-cold"
 )
 
 // Job describes a request that needs a target.
@@ -71,6 +75,8 @@
 	service  string
 	progress *progress // progress of the target's group; nil if the group is unknown
 	engine   bool      // the target is an engine
+	cold     *coldstart.Ticket
+	held     bool // MaySend has refused the request
 }
 
 // Result is how a request ended at its target.
@@ -95,6 +101,9 @@
 	// Connected reports whether there is an idle connection to a target's address. It may be nil, and must not be
 	// changed once the balancer is in use.
 	Connected func(addr string) bool
+	// Cold limits the requests to targets that are cold or may become so. It may be nil, and must not be changed once the
+	// balancer is in use.
+	Cold *coldstart.Limiter
 
 	mu             sync.Mutex
 	now            func() time.Time
@@ -157,6 +166,7 @@
 	now := b.now()
 	targets := job.Targets()
 	counts, groups := b.loads(targets, now)
+	cold, atColdLimit := b.Cold.Rates(job.Service, targets, now), false
 	var best *targetset.Target
 	bestScore := math.Inf(1)
 	reason := ReasonNoTargets
@@ -179,11 +189,19 @@
 		}
 		reason = ReasonFull
 		score, ok := b.score(t, job, counts[i], g, groups[g], now)
-		if ok && score < bestScore {
-			best, bestScore = t, score
+		if !ok || score >= bestScore {
+			continue
+		}
+		if !cold.Allow(t, now) {
+			atColdLimit = true
+			continue
 		}
+		best, bestScore = t, score
 	}
 	if best == nil {
+		if atColdLimit {
+			reason = ReasonCold
+		}
 		return nil, reason
 	}
 	s := b.stateOf(best)
@@ -193,7 +211,7 @@
 	if p != nil {
 		p.requestSent(now, maxEventGap(job))
 	}
-	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil}, ""
+	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil, cold: cold.Take(best, now)}, ""
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -36,14 +36,15 @@
 	lease chan *Lease // receives the place
 	// blockedBy is the reason why no target takes the request at present, such as a closed group; others are served
 	// before it. It is empty for a request that waits for a place.
-	blockedBy Reason
+	blockedBy   Reason
+	atColdLimit bool // it waits for a place, and the last attempt to get one has ended with ReasonCold
 }
 
 // blockedReason returns the reason for waiter.blockedBy of a request that got no target for the reason. Targets that are
 // all excluded or no longer listed are expected back like closed ones.
 func blockedReason(reason Reason) Reason {
 	switch reason {
-	case ReasonFull:
+	case ReasonFull, ReasonCold:
 		return ""
 	case ReasonNoTargets:
 		return ReasonClosed
@@ -54,7 +55,7 @@
 // block records why no target takes the waiter's request.
 func (w *waiter) block(reason Reason) {
 	before := w.blockedBy
-	w.blockedBy = blockedReason(reason)
+	w.blockedBy, w.atColdLimit = blockedReason(reason), reason == ReasonCold
 	if reason == ReasonClosed && before != ReasonClosed && len(w.job.Exclude) == 0 && w.job.WaitsForOpening != nil {
 		w.job.WaitsForOpening()
 	}
@@ -123,7 +124,7 @@
 // refusal wait for them.
 func (q *queue) worthWaiting(job *Job, reason Reason, quiet time.Duration, now time.Time) bool {
 	switch reason {
-	case ReasonFull:
+	case ReasonFull, ReasonCold:
 		return q.expectedWait(q.countAhead(job), now) <= job.MaxWait
 	case ReasonClosed:
 		return job.Returning && now.Sub(q.lastServed) < maxClosedOutage
@@ -148,6 +149,8 @@
 	switch reason {
 	case ReasonClosed:
 		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*rand.Float64())))
+	case ReasonCold:
+		r.RetryAfter = coldRetryAfter(job)
 	case ReasonQuiet:
 		r.RetryAfter = quietRetryAfter(job, quiet)
 	}
@@ -210,7 +213,10 @@
 	default:
 	}
 	reason := ReasonFull
-	if w.blockedBy != "" {
+	switch {
+	case w.atColdLimit:
+		reason = ReasonCold
+	case w.blockedBy != "":
 		reason = w.blockedBy
 	}
 	return nil, newRefusal(w.job, reason, b.quietLeft(w.job, reason))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,6 +131,7 @@
 	resultCallerLeft  = result{name: "left", final: true, leaseResult: balance.CallerLeft}
 	resultNotSent     = result{name: "unsent", leaseResult: balance.Broken, notSent: true, notRun: true}
 	resultTargetLeft  = result{name: "target-left", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
+	resultColdLimit   = result{name: "cold-limit", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultTooLate     = result{name: "too-late", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultRefused     = result{name: "refused", leaseResult: balance.Refused, notRun: true}
 	resultOtherTarget = result{name: "other-target", leaseResult: balance.Broken, notRun: true}
@@ -149,7 +150,9 @@
 		}),
 		// The target may have said that it leaves since it was chosen, and the time until the end of a stop may be used up:
 		// opening a connection takes up to upstream.DialTimeout, and longer if this process was paused.
-		MaySend: func() bool { return x.mayStart() && !x.g.Targets.IsLeaving(lease.Target.Incarnation()) },
+		MaySend: func() bool {
+			return x.mayStart() && !x.g.Targets.IsLeaving(lease.Target.Incarnation()) && lease.MaySend()
+		},
 	}
 	resp, err := x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
 	if err == nil && x.mayBeCopiedFailure(resp) {
@@ -166,6 +169,9 @@
 			if !x.mayStart() {
 				return resultTooLate, err
 			}
+			if lease.Held() {
+				return resultColdLimit, err
+			}
 			return resultTargetLeft, err
 		}
 		if upstream.NotSent(err) {
@@ -284,6 +290,9 @@
 	if a.Quiet > 0 {
 		x.lease.KeepQuiet(a.Quiet)
 	}
+	if a.Cold > 0 {
+		x.lease.Cold(a.Cold)
+	}
 }
 
 var (
--- a/internal/gateway/headertranslator.go
+++ b/internal/gateway/headertranslator.go
@@ -43,7 +43,8 @@
 	Leaving     bool   // the target leaves and wants no further requests
 	// Quiet is the time for which the target wants no request from this process. 0 if it does not ask for this.
 	Quiet   time.Duration
-	Encoded bool // the body has a content encoding, so it is not in the bytes that the target wrote
+	Cold    time.Duration // time for which the target stays cold; 0 if it is not or does not say so
+	Encoded bool          // the body has a content encoding, so it is not in the bytes that the target wrote
 }
 
 // HeaderTranslator translates between the headers of the platform and the types of this package.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/coldstart"
 	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
@@ -55,6 +56,7 @@
 	tables        *routetable.Store
 	targets       *targetset.Set
 	balance       *balance.Balancer
+	cold          *coldstart.Limiter
 	quarantine    *quarantine.Tracker
 	bodies        *membudget.Budget // nil for no bound
 	retries       *retry.FleetBudget
@@ -77,6 +79,8 @@
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
 	e.balance.Notify, e.balance.Connected = logBalance, e.pool.Idle
+	e.cold = newColdLimiter(s)
+	e.balance.Cold = e.cold
 	e.quarantine = quarantine.New(time.Now)
 	e.quarantine.Notify = logQuarantine
 	e.retries = retry.NewFleetBudget(retryAllowance(s.Bounds), s.FirstStart, time.Now)
@@ -193,6 +197,7 @@
 	e.current.set(s)
 	e.fleet.SetSeeds(s.Seeds)
 	e.retries.SetAllowance(retryAllowance(s.Bounds))
+	e.cold.SetBounds(coldBounds(s.Bounds))
 }
 
 // retryAllowance returns the retry limits of the deployment.
@@ -226,8 +231,10 @@
 	e.pool.Sweep(now, func(addr string) bool { return addrs[addr] })
 	e.balance.Sweep(list.ByID)
 	e.quarantine.Sweep()
-	_, known := e.fleet.EntryCounts()
+	reachable, known := e.fleet.EntryCounts()
 	e.retries.SetProcesses(known)
+	e.cold.SetFleet(coldstart.Fleet{Known: known, Reachable: reachable, Seeds: e.current.otherSeeds()}, time.Now())
+	e.cold.Sweep(list.ByID, time.Now())
 	if now.Sub(e.gaugesUpdated) >= gaugeInterval {
 		e.gaugesUpdated = now
 		e.setGauges()
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -115,6 +115,7 @@
 	metrics.SetGauge("entries_known", int64(known))
 	metrics.SetGauge("requests_in_flight", int64(sumCounts(e.balance.InFlight())))
 	metrics.SetGauge("request_body_bytes", e.bodies.Held())
+	metrics.SetGauge("cold_targets", int64(e.cold.ColdTargets(time.Now())))
 	metrics.SetGauge("quarantined_parts", int64(e.quarantine.Quarantined()))
 	metrics.SetGauge("target_connections_opened", e.pool.Dials())
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -61,3 +61,15 @@
 
 func (s *currentSettings) set(v *Settings)          { s.p.Store(v) }
 func (s *currentSettings) bounds() DeploymentLimits { return s.p.Load().Bounds }
+
+// otherSeeds returns the number of seeds that are not this process.
+func (s *currentSettings) otherSeeds() int {
+	v := s.p.Load()
+	others := map[string]bool{}
+	for _, addr := range v.Seeds {
+		if addr != v.Listen.Control {
+			others[addr] = true
+		}
+	}
+	return len(others)
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -78,5 +78,7 @@
 	RetryShare    float64       // retries allowed for each request
 	RetrySlack    float64       // retries allowed in addition in each window, by all processes together
 	RetryWindow   time.Duration // length of the sliding window in which retries are counted
+	ColdOvershoot float64       // requests in a second that a cold target may get, for each one that it tolerates
+	ColdSlack     float64       // requests in a second that a cold target may get in addition
 	FencingChecks bool          // engines reject orders with an outdated fencing number
 }
--- a/internal/routetable/config.go
+++ b/internal/routetable/config.go
@@ -56,6 +56,10 @@
 	Name     string  `json:"name"`
 	MaxConns int     `json:"max_conns"` // connections that one target accepts from all clients together; 0 if unstated
 	Engine   *Engine `json:"engine"`    // nil if the targets are not model engines
+	// ColdStart is the time for which a target is cold after its start, and ColdRate the number of requests per second that
+	// it tolerates then. ColdRate is 0 if targets need no limit.
+	ColdStart time.Duration `json:"cold_start,omitempty"`
+	ColdRate  float64       `json:"cold_rate,omitempty"`
 }
 
 // Engine describes the model engines of a service. The times apply to an engine without other work.
--- a/internal/targetset/targetset.go
+++ b/internal/targetset/targetset.go
@@ -23,7 +23,9 @@
 	DataCentre  string `json:"data_centre"`
 	Slots       int    `json:"slots"` // requests that it processes concurrently
 	Draining    bool   `json:"draining"`
-	Position           // of the platform's list at which the entry was written
+	// ColdFor is how much longer the target is cold, from the time of its entry; 0 if it is not or does not say so.
+	ColdFor  time.Duration `json:"cold,omitempty"`
+	Position               // of the platform's list at which the entry was written
 }
 
 // Incarnation identifies the period from one start of a target to its end. A restarted target has another incarnation.
