--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,6 +146,7 @@
 	resultNotSent     = result{name: "unsent", leaseResult: balance.Broken, notSent: true, notRun: true}
 	resultTargetLeft  = result{name: "target-left", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultEvacuated   = result{name: "evacuated", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
+	resultColdLimit   = result{name: "cold-limit", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultTooLate     = result{name: "too-late", leaseResult: balance.CallerLeft, notSent: true, notRun: true}
 	resultRefused     = result{name: "refused", leaseResult: balance.Refused, notRun: true}
 	resultOtherTarget = result{name: "other-target", leaseResult: balance.Broken, notRun: true}
@@ -162,10 +163,10 @@
 			Account: x.accountName(), Target: lease.Target.ID, Wait: left, Priority: x.priority(),
 			ResumeAfter: x.lastEventID,
 		}),
-		// Since the target was chosen, it may have said that it leaves, its data centre may have been evacuated, and the time until
-		// the end of a stop may be used up: opening a connection takes up to upstream.DialTimeout, and longer if this process
-		// was paused.
-		MaySend: func() bool { return x.mayStart() && x.g.Targets.MaySend(lease.Target) },
+		// Since the target was chosen, it may have said that it leaves, its data centre may have been evacuated, the time for which
+		// a cold target expected the request may have passed, and the time until the end of a stop may be used up: opening a
+		// connection takes up to upstream.DialTimeout, and longer if this process was paused.
+		MaySend: func() bool { return x.mayStart() && x.g.Targets.MaySend(lease.Target) && lease.MaySend() },
 	}
 	resp, err := x.g.Pool.Do(x.ctx, lease.Target.Addr, req)
 	if err == nil && x.mayBeCopiedFailure(resp) {
@@ -184,6 +185,8 @@
 				return resultTooLate, err
 			case x.g.Targets.IsEvacuated(lease.Target.DataCentre):
 				return resultEvacuated, err
+			case lease.Held():
+				return resultColdLimit, err
 			}
 			return resultTargetLeft, err
 		}
@@ -303,6 +306,9 @@
 	if a.Quiet > 0 {
 		x.lease.KeepQuiet(a.Quiet)
 	}
+	if a.Cold > 0 {
+		x.lease.Cold(a.Cold)
+	}
 }
 
 var (
