--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -163,8 +163,8 @@
 			Account: x.accountName(), Target: lease.Target.ID, Wait: left, Priority: x.priority(),
 			ResumeAfter: x.lastEventID,
 		}),
-		// Since the target was chosen, it may have said that it leaves, its data centre may have been evacuated, the time for which
-		// a cold target expected the request may have passed, and the time until the end of a stop may be used up: opening a
+		// Since the target was chosen, it may have said that it leaves, its data centre may have been evacuated, other
+		// requests may have used up the limit of a cold target, and the time until the end of a stop may be used up: opening a
 		// connection takes up to upstream.DialTimeout, and longer if this process was paused.
 		MaySend: func() bool { return x.mayStart() && x.g.Targets.MaySend(lease.Target) && lease.MaySend() },
 	}
