contention: order, places kept back and fair shares for services with priorities

A returning caller passed every first-time one and the check of the predicted step, so that after a crest returning callers took all slots, first-time callers were refused, and came back late in their turn. A class with a longer objective waited longer and won the places.

For services whose routes or accounts differ in priority, package contention now orders requests by priority, then those in time before accounts over their fair share before returning callers; keeps places back for the more urgent arrivals of the next 0.1 s, at this entry and, from heartbeats, at its peers; refuses at arrival what gets no place within the objective less the recent time to the first event; lets more urgent work displace what waits; and allows for the highest imbalance of the last 8 s instead of a constant 2.3. Other services are decided as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/contention"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -37,22 +38,32 @@
 	ReasonClosed Reason = "targets-closed"
 	// ReasonQuiet means that each target that is not avoided or closed wants no requests from this process at present.
 	ReasonQuiet Reason = "targets-quiet"
+	// ReasonKept means that the free places are kept for more urgent requests that are expected.
+	ReasonKept Reason = "places-kept"
+	// ReasonDisplaced means that more urgent requests arrived while the request waited.
+	ReasonDisplaced Reason = "displaced"
 )
 
 // Job describes a request that needs a target.
 type Job struct {
-	Name      string                         // name of the service
-	Service   *routetable.Service            // nil if the configuration does not describe it
-	EventGap  time.Duration                  // longest gap between events that is on time; 0 if unstated
-	MaxWait   time.Duration                  // longest wait for a place
-	Remaining time.Duration                  // until the caller gives up
-	Returning bool                           // the caller was refused before and gives up if it is refused again
-	Priority  int                            // 0 is the most urgent
-	Exclude   map[targetset.Incarnation]bool // targets that have already failed this request
-	Targets   func() []*targetset.Target     // lists the targets of the service
+	Name      string              // name of the service
+	Service   *routetable.Service // nil if the configuration does not describe it
+	EventGap  time.Duration       // longest gap between events that is on time; 0 if unstated
+	MaxWait   time.Duration       // longest wait for a place
+	Remaining time.Duration       // until the caller gives up
+	Returning bool                // the caller was refused before and gives up if it is refused again
+	Priority  int                 // 0 is the most urgent
+	// Prioritized is set if requests of the service may differ in priority, so that package contention orders them.
+	Prioritized bool
+	Objective   time.Duration                  // latency objective, counted from the first attempt of the caller
+	Account     string                         // client account; empty if there is none
+	Exclude     map[targetset.Incarnation]bool // targets that have already failed this request
+	Targets     func() []*targetset.Target     // lists the targets of the service
 	// WaitsForOpening is called when the job begins to wait because no target of the service takes requests. It may be nil,
 	// and must neither block nor call the balancer.
 	WaitsForOpening func()
+
+	rank contention.Rank
 }
 
 // engine returns the description of the service's engines, or nil for a service without model engines.
@@ -71,6 +82,11 @@
 	service  string
 	progress *progress // progress of the target's group; nil if the group is unknown
 	engine   bool      // the target is an engine
+
+	contention *contention.Service // nil if the service's requests have the same priority
+	priority   int
+	started    time.Time
+	answered   bool // an event has arrived
 }
 
 // Result is how a request ended at its target.
@@ -95,6 +111,9 @@
 	// Connected reports whether there is an idle connection to a target's address. It may be nil, and must not be
 	// changed once the balancer is in use.
 	Connected func(addr string) bool
+	// Decided receives each decision about a request of a service whose requests differ in priority. The same holds for it
+	// as for Notify.
+	Decided func(priority int, d contention.Decision)
 
 	mu             sync.Mutex
 	now            func() time.Time
@@ -107,6 +126,7 @@
 	queues         map[string]*queue // by service
 	// progress is stored by the name of the group and not in group, because each report replaces the group.
 	progress map[string]*progress
+	reserves map[string]*contention.ImbalanceReserve // by the name of the group
 }
 
 // targetState is the load and the health of one incarnation of a target.
@@ -131,7 +151,8 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{Local: dataCentre, now: now, states: map[targetset.Incarnation]*targetState{},
 		peerInFlight: map[string]map[string]int{}, peerReportedAt: map[string]time.Time{}, peerTotal: map[string]int{}, groups: map[string]*group{},
-		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{}}
+		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{},
+		reserves: map[string]*contention.ImbalanceReserve{}}
 }
 
 const (
@@ -159,6 +180,7 @@
 	counts, groups := b.loads(targets, now)
 	var best *targetset.Target
 	bestScore := math.Inf(1)
+	free := 0.0
 	reason := ReasonNoTargets
 	for i, t := range targets {
 		if job.Exclude[t.Incarnation()] {
@@ -178,6 +200,9 @@
 			continue
 		}
 		reason = ReasonFull
+		if job.Prioritized {
+			free += b.capacity(t, job, g) - float64(counts[i])
+		}
 		score, ok := b.score(t, job, counts[i], g, groups[g], now)
 		if ok && score < bestScore {
 			best, bestScore = t, score
@@ -186,6 +211,9 @@
 	if best == nil {
 		return nil, reason
 	}
+	if b.keepsBack(job, free, now) {
+		return nil, ReasonKept
+	}
 	s := b.stateOf(best)
 	s.ownInFlight++
 	s.health.requestSent()
@@ -193,13 +221,14 @@
 	if p != nil {
 		p.requestSent(now, maxEventGap(job))
 	}
-	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil}, ""
+	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil,
+		contention: b.queueOf(job.Name).contention, priority: job.Priority, started: now}, ""
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
 // it is the predicted time of a step in seconds, for other targets the number of requests in flight plus a latency
 // penalty. It returns false if the target has no free place. An engine has one if a slot is free and, unless the caller
-// is returning, the predicted steps stay within the longest event gap of the job.
+// is returning to a service without priorities, the predicted steps stay within the longest event gap of the job.
 func (b *Balancer) score(t *targetset.Target, job *Job, n int, g *group, l *groupLoad, now time.Time) (float64, bool) {
 	latencyPenalty := b.extraLatency(t)
 	e := job.engine()
@@ -213,9 +242,9 @@
 		return 0, false
 	}
 	mean := float64(l.requests+1) / float64(l.ranks)
-	current, reserved := g.imbalance()
+	current, reserved := b.imbalance(g, job)
 	pace := g.pace(t.Addr)
-	if n >= t.Slots || !job.Returning && stepTime(e, n+1, mean, reserved, pace) > maxEventGap(job) {
+	if n >= t.Slots || !job.exceedsGap() && stepTime(e, n+1, mean, reserved, pace) > maxEventGap(job) {
 		return 0, false
 	}
 	step := stepTime(e, n+1, mean, current, pace)
@@ -302,6 +331,9 @@
 	l.b.recordResult(l.Target.ID, &l.s.health, r, now)
 	q := l.b.queueOf(l.service)
 	q.placeFreed(now)
+	if l.contention != nil {
+		l.contention.Done(l.priority)
+	}
 	if r == Served {
 		q.lastServed = now
 	}
@@ -342,5 +374,6 @@
 	}
 	b.dropOldReports(b.now())
 	b.removeOldGroups()
+	b.sweepContention()
 	b.dispatchAll() // the backoff of a target may have ended
 }
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/contention"
+)
 
 // EventKind names a change in the balancer's assessment of a target or a group.
 type EventKind string
@@ -15,9 +19,13 @@
 	EventLeaves    EventKind = "target-leaving" // it has said in an answer that it leaves
 	EventQuiet     EventKind = "target-quiet"   // it has asked for no requests for Backoff
 	EventAnswers   EventKind = "group-answers"  // it has sent an event after it was stalled
+	// EventContended means that requests of a service with priorities have to wait or are refused for want of places, and
+	// EventCalm that there was none for a while.
+	EventContended EventKind = "service-contended"
+	EventCalm      EventKind = "service-calm"
 )
 
-// Event is a change in the balancer's assessment of a target or a group. Fields that do not apply to its kind are
+// Event is a change in the balancer's assessment of a target, a group or a service. Fields that do not apply to its kind are
 // empty.
 type Event struct {
 	Kind    EventKind
@@ -25,7 +33,9 @@
 	Group   string
 	Weight  int           // weight of the consecutive failures
 	Backoff time.Duration // time for which the target is avoided
-	Age     time.Duration // time since the last event of the group
+	Age     time.Duration // time since the last event of the group, or for which a service was contended
+	Service string
+	Counts  contention.Counts // decisions while the service was contended
 }
 
 // notify passes an event to Notify. The caller holds the lock.
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
@@ -87,6 +88,7 @@
 		b.notify(Event{Kind: kind, Group: r.Name})
 	}
 	b.groups[r.Name] = next
+	b.recordImbalance(r)
 	for _, rank := range next.report.Ranks {
 		if rank.Engine != "" {
 			b.groupByEngine[rank.Engine] = next
@@ -110,6 +112,7 @@
 		}
 		delete(b.groups, name)
 		delete(b.progress, name)
+		delete(b.reserves, name)
 		maps.DeleteFunc(b.groupByEngine, func(_ string, other *group) bool { return other.report.Name == name })
 	}
 }
@@ -189,3 +192,13 @@
 	}
 	return max(1, g.paces[addr])
 }
+
+// requestsWithin returns the number of requests of each rank with which stepTime predicts the duration of one step.
+func requestsWithin(e *routetable.Engine, step time.Duration, imbalance, pace float64) float64 {
+	share := e.Experts.Share
+	work := float64(step) * (1 - prefillShare) / ((1-share)*max(1, pace) + share*imbalance)
+	if e.PerRequest <= 0 {
+		return math.Inf(1)
+	}
+	return max(0, (work/float64(max(1, e.Stride))-float64(e.StepTime))/float64(e.PerRequest))
+}
--- a/internal/balance/progress.go
+++ b/internal/balance/progress.go
@@ -83,6 +83,10 @@
 	if l.progress != nil {
 		l.b.groupAnswered(l.progress, now)
 	}
+	if l.contention != nil && !l.answered {
+		l.answered = true
+		l.contention.FirstEvent(now.Sub(l.started), now)
+	}
 	if gap > 0 {
 		l.s.lastEventGap, l.s.lastEventGapAt = gap, now
 	}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/contention"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
@@ -21,9 +22,11 @@
 // longer times. A margin for network latency is already deducted.
 const RetryAfterShare = 0.32
 
-// queue holds the requests of one service in this process that wait for a place. It is ordered by priority; within a
-// priority, returning callers are before others, and then those that arrived first.
+// queue holds the requests of one service in this process that wait for a place. It is ordered by rank, and within a
+// rank by arrival.
 type queue struct {
+	contention     *contention.Service // nil if the service's requests have the same priority
+	free           float64             // free places of the service when a place was last sought, if contention is not nil
 	waiting        []*waiter
 	freedPerSecond float64 // moving average of the places freed per second
 	rateUpdated    time.Time
@@ -32,18 +35,25 @@
 
 // waiter is a request in a queue.
 type waiter struct {
-	job   *Job
-	lease chan *Lease // receives the place
+	job    *Job
+	placed chan placement // receives the decision
+	until  time.Time      // the latest time of the decision
 	// blockedBy is the reason why no target takes the request at present, such as a closed group; others are served
 	// before it. It is empty for a request that waits for a place.
 	blockedBy Reason
 }
 
+// placement is the decision about a waiting request: a lease or a refusal.
+type placement struct {
+	lease   *Lease
+	refusal *Refusal
+}
+
 // blockedReason returns the reason for waiter.blockedBy of a request that got no target for the reason. Targets that are
 // all excluded or no longer listed are expected back like closed ones.
 func blockedReason(reason Reason) Reason {
 	switch reason {
-	case ReasonFull:
+	case ReasonFull, ReasonKept:
 		return ""
 	case ReasonNoTargets:
 		return ReasonClosed
@@ -98,22 +108,26 @@
 func (b *Balancer) Acquire(ctx context.Context, job *Job) (*Lease, *Refusal) {
 	b.mu.Lock()
 	q := b.queueOf(job.Name)
+	b.rank(q, job)
 	reason := ReasonFull
 	if q.countAhead(job) == 0 {
 		var lease *Lease
 		if lease, reason = b.pick(job); lease != nil {
+			b.decided(q, job, contention.Admitted)
 			b.mu.Unlock()
 			return lease, nil
 		}
 	}
 	quiet := b.quietLeft(job, reason)
-	if !q.worthWaiting(job, reason, quiet, b.now()) {
+	if !b.worthWaiting(q, job, reason, quiet) {
+		refusal := b.refuse(q, job, reason, quiet)
 		b.mu.Unlock()
-		return nil, newRefusal(job, reason, quiet)
+		return nil, refusal
 	}
-	w := &waiter{job: job, lease: make(chan *Lease, 1)}
+	w := &waiter{job: job, placed: make(chan placement, 1), until: b.now().Add(job.MaxWait)}
 	w.block(reason)
 	q.insert(w)
+	b.displace(q, job)
 	b.mu.Unlock()
 	return b.awaitPlace(ctx, q, w)
 }
@@ -121,10 +135,11 @@
 // worthWaiting reports whether a job is likely to get a place in time. Closed groups open again at an unknown time, and
 // targets that want no requests for the time quiet may want none after it, so only callers that give up at the next
 // refusal wait for them.
-func (q *queue) worthWaiting(job *Job, reason Reason, quiet time.Duration, now time.Time) bool {
+func (b *Balancer) worthWaiting(q *queue, job *Job, reason Reason, quiet time.Duration) bool {
+	now := b.now()
 	switch reason {
-	case ReasonFull:
-		return q.expectedWait(q.countAhead(job), now) <= job.MaxWait
+	case ReasonFull, ReasonKept:
+		return b.expectedWait(q, job, q.countAhead(job)) <= job.MaxWait
 	case ReasonClosed:
 		return job.Returning && now.Sub(q.lastServed) < maxClosedOutage
 	case ReasonQuiet:
@@ -141,23 +156,28 @@
 // callers whose targets are closed or have refused the request.
 const GroupReformTime = time.Second
 
-// newRefusal returns the refusal of a job with its retry-after time. quiet is the time until the first of its targets
-// that want no requests wants one again.
-func newRefusal(job *Job, reason Reason, quiet time.Duration) *Refusal {
-	r := &Refusal{reason, retryAfter(job)}
+// refuse returns the refusal of a job with its retry-after time, and records it. quiet is the time until the first of its
+// targets that want no requests wants one again. The caller holds the lock.
+func (b *Balancer) refuse(q *queue, job *Job, reason Reason, quiet time.Duration) *Refusal {
+	b.decided(q, job, refusalDecision(reason))
+	r := &Refusal{reason, b.retryAfter(q, job)}
 	switch reason {
 	case ReasonClosed:
 		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*rand.Float64())))
 	case ReasonQuiet:
-		r.RetryAfter = quietRetryAfter(job, quiet)
+		r.RetryAfter = min(r.RetryAfter, quietRetryAfter(quiet))
 	}
 	return r
 }
 
 // retryAfter returns the time after which a refused caller may retry. Peaks in demand last longer than the retry-after
-// times that callers honour, so the time is the longest one that callers honour, less a random part.
-func retryAfter(job *Job) time.Duration {
+// times that callers honour, so the time is the longest one that callers honour, less a random part. The caller holds the
+// lock.
+func (b *Balancer) retryAfter(q *queue, job *Job) time.Duration {
 	latest := min(maxRetryAfter, time.Duration(RetryAfterShare*float64(job.Remaining)))
+	if q.contention != nil {
+		return q.contention.RetryAfter(job.request(), latest, rand.Float64(), b.now())
+	}
 	return time.Duration(float64(latest) * (1 - retryAfterJitter*rand.Float64()))
 }
 
@@ -173,12 +193,7 @@
 }
 
 // yieldsTo reports whether a waiting job is served after another one that arrives later.
-func (j *Job) yieldsTo(other *Job) bool {
-	if j.Priority != other.Priority {
-		return j.Priority > other.Priority
-	}
-	return other.Returning && !j.Returning
-}
+func (j *Job) yieldsTo(other *Job) bool { return other.rank.Before(j.rank) }
 
 // insert adds a waiter at its position in the order of the queue.
 func (q *queue) insert(w *waiter) {
@@ -194,8 +209,8 @@
 	timer := time.NewTimer(w.job.MaxWait)
 	defer timer.Stop()
 	select {
-	case l := <-w.lease:
-		return l, nil
+	case p := <-w.placed:
+		return p.lease, p.refusal
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -205,15 +220,15 @@
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 	select {
-	case l := <-w.lease: // the place was assigned at the same time
-		return l, nil
+	case p := <-w.placed: // decided at the same time
+		return p.lease, p.refusal
 	default:
 	}
 	reason := ReasonFull
 	if w.blockedBy != "" {
 		reason = w.blockedBy
 	}
-	return nil, newRefusal(w.job, reason, b.quietLeft(w.job, reason))
+	return nil, b.refuse(q, w.job, reason, b.quietLeft(w.job, reason))
 }
 
 // dispatchAll gives free places to the waiting requests of all services. The caller holds the lock.
@@ -225,9 +240,9 @@
 
 // demand is what decides, for a request that no target has failed, whether a target of its service takes it.
 type demand struct {
-	service   *routetable.Service
-	eventGap  time.Duration
-	returning bool
+	service  *routetable.Service
+	eventGap time.Duration
+	rank     contention.Rank
 }
 
 // dispatchQueue gives free places to the requests of one queue in their order until no place is left. It skips requests
@@ -237,7 +252,7 @@
 	blocked := map[demand]Reason{}
 	for i := 0; i < len(q.waiting); {
 		w := q.waiting[i]
-		d := demand{w.job.Service, w.job.EventGap, w.job.Returning}
+		d := demand{w.job.Service, w.job.EventGap, w.job.rank}
 		shared := len(w.job.Exclude) == 0
 		if reason := blocked[d]; shared && reason != "" {
 			w.block(reason)
@@ -247,12 +262,13 @@
 		lease, reason := b.pick(w.job)
 		if lease != nil {
 			clear(blocked)
-			w.lease <- lease
+			b.decided(q, w.job, contention.Waited)
+			w.placed <- placement{lease: lease}
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			continue
 		}
 		w.block(reason)
-		if w.blockedBy == "" {
+		if reason == ReasonFull {
 			return
 		}
 		if shared {
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -55,7 +55,6 @@
 const quietSpread = 0.5
 
 // quietRetryAfter returns the retry-after time of a caller whose targets want no requests for at least the time left.
-func quietRetryAfter(job *Job, left time.Duration) time.Duration {
-	wanted := left + time.Duration(quietSpread*rand.Float64()*float64(left))
-	return min(wanted, retryAfter(job))
+func quietRetryAfter(left time.Duration) time.Duration {
+	return left + time.Duration(quietSpread*rand.Float64()*float64(left))
 }
--- /dev/null
+++ b/internal/contention/delay.go
@@ -0,0 +1,46 @@
+package contention
+
+import "time"
+
+const (
+	// delayWeight is the weight of the latest sample in the average of a delay.
+	delayWeight = 0.08
+	// delayMaxAge is the age of the latest sample from which a delay is unknown.
+	delayMaxAge = 2 * time.Second
+	// cautiousDeviations is the number of mean deviations added to the mean delay, so that most requests that are
+	// admitted meet their objective.
+	cautiousDeviations = 0.7
+	// minBudgetShare is the share of the objective for which a request may wait even if the delay leaves less.
+	// Admission holds the load at a level that leaves more, so that a longer delay is temporary.
+	minBudgetShare = 0.1
+)
+
+// delay is a moving average of a delay and of its deviation.
+type delay struct {
+	mean, deviation float64 // seconds
+	updated         time.Time
+}
+
+func (d *delay) add(sample time.Duration, now time.Time) {
+	x := sample.Seconds()
+	if d.updated.IsZero() || now.Sub(d.updated) > delayMaxAge {
+		d.mean, d.deviation = x, 0
+	}
+	diff := x - d.mean
+	d.mean += delayWeight * diff
+	d.deviation += delayWeight * (max(diff, -diff) - d.deviation)
+	d.updated = now
+}
+
+// FirstEvent records the time from the start of an attempt to the first event of the answer.
+func (s *Service) FirstEvent(took time.Duration, now time.Time) { s.first.add(took, now) }
+
+// WaitBudget returns the longest time for which a request may wait so that it can meet its objective. known is false if
+// the delay of answers is not known.
+func (s *Service) WaitBudget(objective time.Duration, now time.Time) (budget time.Duration, known bool) {
+	if s.first.updated.IsZero() || now.Sub(s.first.updated) > delayMaxAge {
+		return 0, false
+	}
+	answer := time.Duration((s.first.mean + cautiousDeviations*s.first.deviation) * float64(time.Second))
+	return max(time.Duration(minBudgetShare*float64(objective)), objective-answer), true
+}
--- /dev/null
+++ b/internal/contention/demand.go
@@ -0,0 +1,132 @@
+package contention
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// reportMaxAge is the age from which a peer's report is ignored.
+	reportMaxAge = 2 * time.Second
+	// keepHorizon is the time until places come free again, for which places are kept back.
+	keepHorizon = 100 * time.Millisecond
+	// guaranteedShare is the share of all requests in flight up to which no places are kept back from a priority, so that
+	// the least urgent requests are not left out altogether.
+	guaranteedShare = 0.04
+)
+
+// ClassDemand is the demand of the requests of one priority.
+type ClassDemand struct {
+	Priority          int
+	ArrivalsPerSecond float64
+	InFlight          int
+}
+
+// demand is the demand of a service by priority, at this process and at its peers.
+type demand struct {
+	own   map[int]*ownDemand
+	peers map[string]peerDemand // by process
+}
+
+type ownDemand struct {
+	arrivals rate
+	inFlight int
+}
+
+type peerDemand struct {
+	classes  []ClassDemand
+	received time.Time
+}
+
+func newDemand() demand {
+	return demand{own: map[int]*ownDemand{}, peers: map[string]peerDemand{}}
+}
+
+func (d *demand) class(priority int) *ownDemand {
+	c := d.own[priority]
+	if c == nil {
+		c = &ownDemand{}
+		d.own[priority] = c
+	}
+	return c
+}
+
+func (d *demand) arrived(priority int, now time.Time) { d.class(priority).arrivals.add(now) }
+func (d *demand) started(priority int)                { d.class(priority).inFlight++ }
+func (d *demand) done(priority int)                   { d.class(priority).inFlight-- }
+
+// SetPeer records the demand at a peer, which replaces its earlier one.
+func (s *Service) SetPeer(process string, classes []ClassDemand, now time.Time) {
+	s.demand.peers[process] = peerDemand{classes, now}
+}
+
+// Own returns the demand at this process, by priority.
+func (s *Service) Own(now time.Time) []ClassDemand {
+	var out []ClassDemand
+	for _, p := range slices.Sorted(maps.Keys(s.demand.own)) {
+		c := s.demand.own[p]
+		out = append(out, ClassDemand{p, c.arrivals.perSecond(now), c.inFlight})
+	}
+	return out
+}
+
+// expire drops the reports of peers that have not been heard for reportMaxAge.
+func (d *demand) expire(now time.Time) {
+	maps.DeleteFunc(d.peers, func(_ string, p peerDemand) bool { return now.Sub(p.received) >= reportMaxAge })
+}
+
+// total calls f for the demand of each priority at each process. A peer without a recent report counts as having none.
+func (d *demand) total(now time.Time, f func(ClassDemand)) {
+	for p, c := range d.own {
+		f(ClassDemand{p, c.arrivals.perSecond(now), c.inFlight})
+	}
+	for _, p := range d.peers {
+		if now.Sub(p.received) >= reportMaxAge {
+			continue
+		}
+		for _, c := range p.classes {
+			f(c)
+		}
+	}
+}
+
+// Kept returns the number of free places of the service that requests of the rank must leave to those that go before
+// them.
+func (s *Service) Kept(r Rank, now time.Time) float64 {
+	urgentPerSecond := 0.0
+	inFlight, all := 0, 0
+	s.demand.total(now, func(c ClassDemand) {
+		if c.Priority < r.Priority || c.Priority == r.Priority && r.Tier > TierInTime {
+			urgentPerSecond += c.ArrivalsPerSecond
+		}
+		if c.Priority == r.Priority {
+			inFlight += c.InFlight
+		}
+		all += c.InFlight
+	})
+	if r.Tier == TierInTime && float64(inFlight) < guaranteedShare*float64(all) {
+		return 0
+	}
+	return urgentPerSecond * keepHorizon.Seconds()
+}
+
+// AheadPerSecond returns the arrivals per second at this process of requests that go before those of the rank.
+func (s *Service) AheadPerSecond(r Rank, now time.Time) float64 {
+	sum := 0.0
+	for p, c := range s.demand.own {
+		if p < r.Priority || p == r.Priority && r.Tier > TierInTime {
+			sum += c.arrivals.perSecond(now)
+		}
+	}
+	return sum
+}
+
+// leastUrgent returns the lowest priority that was seen, as its number.
+func (d *demand) leastUrgent() int {
+	out := 0
+	for p := range d.own {
+		out = max(out, p)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/contention/imbalance.go
@@ -0,0 +1,48 @@
+package contention
+
+import "time"
+
+const (
+	// MaxReserve is the imbalance that is allowed for while none is known, and the highest one that is allowed for.
+	MaxReserve = 2.3
+	// MinReserve is the least imbalance that is allowed for.
+	MinReserve = 1.2
+	// reserveSlots and reserveSlot give the time for which a reported imbalance is allowed for. Popularity shifts every few
+	// seconds, so that the reserve covers the next shift.
+	reserveSlots = 8
+	reserveSlot  = time.Second
+)
+
+// ImbalanceReserve is the imbalance of an engine group that admission allows for: the highest one of the last seconds.
+// Times that no report covers count as MaxReserve. The zero value knows no imbalance.
+type ImbalanceReserve struct {
+	highest [reserveSlots]float64 // by slot of time; 0 for a slot without a report
+	slot    int64                 // number of the latest slot
+}
+
+// Report records the present imbalance.
+func (r *ImbalanceReserve) Report(imbalance float64, now time.Time) {
+	slot := now.UnixNano() / int64(reserveSlot)
+	if slot-r.slot >= reserveSlots {
+		clear(r.highest[:])
+		r.slot = slot - reserveSlots
+	}
+	for r.slot < slot {
+		r.slot++
+		r.highest[r.slot%reserveSlots] = 0
+	}
+	h := &r.highest[slot%reserveSlots]
+	*h = max(*h, imbalance)
+}
+
+// Value returns the imbalance to allow for.
+func (r *ImbalanceReserve) Value() float64 {
+	most := 0.0
+	for _, h := range r.highest {
+		if h == 0 {
+			return MaxReserve
+		}
+		most = max(most, h)
+	}
+	return min(MaxReserve, max(MinReserve, most))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,10 @@
 	Quarantine     *quarantine.Tracker                           // nil for an entry that exchanges no evidence on prompts
 	InFlight       func() map[string]int                         // this entry's requests in flight, by target id
 	ReportInFlight func(process string, inFlight map[string]int) // receives the requests in flight of another entry
+	// Demand returns this entry's demand for the services with priorities, by service. ReportDemand receives that of
+	// another entry or data centre. Both are nil for an entry that exchanges no demand.
+	Demand       func() Demand
+	ReportDemand func(process string, demand Demand)
 	// ReportGroup receives the state of an engine group, and reports whether the ranks that it names are known.
 	ReportGroup   func(GroupState) bool
 	ReadsPlatform func() bool // whether this process itself reads the platform
@@ -98,6 +102,7 @@
 	lastReported  time.Time      // last summary that named it as reachable
 	callFailed    time.Time      // last failed call to it
 	inFlight      map[string]int // requests in flight by target id, as it stated last
+	demand        Demand         // as it stated last
 	lastMentioned time.Time      // last time that the entry or any peer named it
 	calling       bool           // a call to the entry is open
 	live          bool           // a heartbeat arrived within livenessTimeout
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -43,6 +43,7 @@
 	}
 	if h.Summary, h.Members = f.summary(to, list, own, now); h.Summary == nil {
 		h.InFlight = encodeInFlight(list, own)
+		h.Demand = encodeDemand(f.opt.Tables.Load(), f.ownDemand())
 	}
 	return h
 }
@@ -120,6 +121,7 @@
 	}
 	list := f.opt.Targets.Snapshot()
 	f.recordInFlight(list, h)
+	f.recordDemand(h)
 	request := StateRequest{Config: f.opt.Tables.Version(), List: list.Position, Members: h.Members != f.memberHash()}
 	if h.Config > request.Config || request.List.Before(h.List) || request.Members {
 		f.fetchOnce(ctx, h, request)
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -58,6 +58,8 @@
 	Stopping      bool   `json:"st,omitempty"`
 	// Evidence states which parts of prompts crash engines.
 	Evidence *quarantine.Report `json:"ev,omitempty"`
+	// Demand holds the sender's demand by service and priority. See encodeDemand.
+	Demand []byte `json:"dm,omitempty"`
 	// Summary is sent instead of InFlight to entries of other data centres in a large fleet.
 	Summary *Summary `json:"sm,omitempty"`
 }
--- a/internal/fleet/summary.go
+++ b/internal/fleet/summary.go
@@ -24,6 +24,8 @@
 type Summary struct {
 	// InFlight holds the requests in flight of all entries of the data centre, encoded like Heartbeat.InFlight.
 	InFlight []byte `json:"if,omitempty"`
+	// Demand holds the demand at all entries of the data centre, encoded like Heartbeat.Demand.
+	Demand []byte `json:"dm,omitempty"`
 	// Live holds the reachable entries of the data centre, the sender included. It is empty if Marks states them.
 	Live []LiveEntry `json:"le,omitempty"`
 	// Marks states the reachable entries in two bits for each entry that the sender knows, in the order of their
@@ -124,6 +126,7 @@
 	}
 	out := &Summary{Live: []LiveEntry{{Control: f.opt.Self.Control, ReadsPlatform: f.opt.ReadsPlatform() && !f.opt.Stopping()}}}
 	sum := map[string]int{}
+	demand := f.ownDemand()
 	addCounts(sum, own)
 	for _, e := range f.entries {
 		if f.isRemote(e.Entry) || now.Sub(e.lastHeard) > livenessTimeout {
@@ -131,8 +134,10 @@
 		}
 		out.Live = append(out.Live, LiveEntry{Control: e.Control, ReadsPlatform: e.readsPlatform})
 		addCounts(sum, e.inFlight)
+		addDemand(demand, e.demand)
 	}
 	out.InFlight = encodeInFlight(list, sum)
+	out.Demand = encodeDemand(f.opt.Tables.Load(), demand)
 	if e := f.entries[to.Control]; e != nil && e.memberHash == known.hash {
 		out.Live, out.Marks = nil, encodeMarks(known.entries, out.Live)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,7 @@
 	PeerEvents        = expvar.NewMap("peer_events_total")        // updates from other entries and their outages, by kind
 	GroupEvents       = expvar.NewMap("group_events_total")       // events of the coordinated engine group, by kind
 	BalanceEvents     = expvar.NewMap("balance_events_total")     // changes in the state of targets and groups, by kind
+	Contention        = expvar.NewMap("contention_total")         // decisions of services with priorities, by decision and priority
 	QuarantineEvents  = expvar.NewMap("quarantine_events_total")  // crashes of engines and quarantines of parts of prompts, by kind
 	Gauges            = expvar.NewMap("gauge")                    // current values, by gauge name
 	ExpertLoads       = expvar.NewInt("experts_loaded_total")     // by all ranks of the coordinated groups
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -76,7 +76,7 @@
 	e.bodies = s.bodyBudget()
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
-	e.balance.Notify, e.balance.Connected = logBalance, e.pool.Idle
+	e.balance.Notify, e.balance.Connected, e.balance.Decided = logBalance, e.pool.Idle, countDecision
 	e.quarantine = quarantine.New(time.Now)
 	e.quarantine.Notify = logQuarantine
 	e.retries = retry.NewFleetBudget(retryAllowance(s.Bounds), s.FirstStart, time.Now)
@@ -84,7 +84,10 @@
 	e.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Entry{Name: s.Name, Control: s.Listen.Control, Started: time.Now().UnixNano(), DataCentre: s.DataCentre},
 		Seeds: s.Seeds, Pool: e.peers, Tables: e.tables, Targets: e.targets, Quarantine: e.quarantine,
-		InFlight: e.balance.InFlight, ReportInFlight: e.balance.SetPeerInFlight, ReportGroup: e.reportGroup,
+		InFlight: e.balance.InFlight, ReportInFlight: e.balance.SetPeerInFlight,
+		Demand:        func() fleet.Demand { return e.balance.Demand() },
+		ReportDemand:  func(process string, d fleet.Demand) { e.balance.SetPeerDemand(process, d) },
+		ReportGroup:   e.reportGroup,
 		ReadsPlatform: e.watcher.ReadsPlatform, Stopping: e.stopping.Begun, Notify: logFleet,
 	})
 	e.watcher.EnoughReaders = e.fleet.EnoughReaders
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -130,6 +130,12 @@
 	if e.Age > 0 {
 		f["age"] = e.Age
 	}
+	if e.Service != "" {
+		f["service"] = e.Service
+	}
+	if e.Kind == balance.EventCalm {
+		f["admitted"], f["waited"], f["refused"] = e.Counts.Admitted, e.Counts.Waited, e.Counts.Refused
+	}
 	log.WithFields(f).Info("balance")
 }
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -5,10 +5,12 @@
 	"expvar"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/camphorbank/camphorbank/internal/contention"
 	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/metrics"
@@ -41,6 +43,11 @@
 	}
 }
 
+// countDecision updates the metrics with a decision about a request of a service with priorities.
+func countDecision(priority int, d contention.Decision) {
+	metrics.Contention.Add(string(d)+"/"+strconv.Itoa(priority), 1)
+}
+
 // countGroup updates the metrics with an event of the coordinated engine group.
 func countGroup(e rankgroup.Event) {
 	metrics.GroupEvents.Add(string(e.Kind), 1)
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -13,6 +14,8 @@
 	hosts    map[string][]*Route // by lower-case host, longest prefix first
 	accounts map[string]*Account // by key
 	services map[string]*Service
+	// prioritized holds the services whose requests differ in priority.
+	prioritized map[string]bool
 }
 
 // Compile builds the table of a revision.
@@ -34,9 +37,40 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
+	t.prioritized = prioritizedServices(c)
 	return t
 }
 
+// prioritizedServices returns the services of a revision whose requests may differ in priority.
+func prioritizedServices(c Config) map[string]bool {
+	ofAccounts := map[int]bool{}
+	for _, a := range c.Accounts {
+		if a.Priority != nil {
+			ofAccounts[*a.Priority] = true
+		}
+	}
+	byService := map[string]map[int]bool{}
+	for _, r := range c.Routes {
+		for _, b := range r.Backends {
+			if byService[b.Service] == nil {
+				byService[b.Service] = map[int]bool{}
+			}
+			byService[b.Service][r.Priority] = true
+			if !r.Public {
+				maps.Copy(byService[b.Service], ofAccounts)
+			}
+		}
+	}
+	out := map[string]bool{}
+	for service, priorities := range byService {
+		out[service] = len(priorities) > 1
+	}
+	return out
+}
+
+// Prioritized reports whether the requests of a service may differ in priority, by their routes or client accounts.
+func (t *Table) Prioritized(service string) bool { return t.prioritized[service] }
+
 // Match returns the route of the host whose prefix is the longest one that the path begins with.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	if h, _, err := net.SplitHostPort(host); err == nil {
