--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// coldRetryAfter returns the retry-after time of a caller whose targets are at the limit of the requests that they may
-// get while they are cold. Places become free within a second.
-func coldRetryAfter(job *Job) time.Duration {
-	return min(retryAfter(job), time.Duration(float64(time.Second)*(1-retryAfterJitter*rand.Float64())))
+// coldReturn returns the time after which a caller returns whose targets are at the limit of the requests that they may get
+// while they are cold. Places become free within a second.
+func coldReturn() time.Duration {
+	return time.Duration(float64(time.Second) * (1 - retryAfterJitter*rand.Float64()))
 }
 
 // MaySend reports whether the request may be sent now, which is asked immediately before it is sent, each time.
