routing: choose by the predicted time to the first token

The router followed rendezvous hashing if the wait at the preferred target was at most 40 ms longer and its load at most 1.25 times the mean, whatever the engine's speed. It now compares what a kept prefix saves, from the reported speed, with the wait: beyond that the prefix is processed elsewhere and kept there too. Rendezvous hashing remains for prefixes that no target is believed to hold, so that entries agree on the first one without a message.

A decision reads one slice for each value instead of an entry for each target, and draws candidates without listing them.

--- a/internal/capacity/entry.go
+++ b/internal/capacity/entry.go
@@ -11,6 +11,7 @@
 	"github.com/camphorbank/camphorbank/internal/membership"
 	"github.com/camphorbank/camphorbank/internal/outcome"
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/report"
 	"github.com/camphorbank/camphorbank/internal/routing"
 	"github.com/camphorbank/camphorbank/internal/stream"
@@ -86,7 +87,8 @@
 		list := vmList(targets)[:targets]
 		router := routing.New(routing.Options{DataCentre: "dc-0", Clock: port.SystemClock{}, Seed: 1})
 		return fastestNanoseconds(500, func(i int) {
-			c := router.Pick(&routing.Query{Kind: wire.KindDraft, Serves: "m", Targets: list, Tokens: 100, Prefix: uint64(i) + 1})
+			c := router.Pick(&routing.Query{Kind: wire.KindDraft, Serves: "m", Targets: list, Tokens: 100, Prompt: promptcache.Prompt{
+				Tokens: 900, Prefixes: []promptcache.Prefix{{Hash: uint64(i) + 1, Tokens: 600}}}})
 			c.Report(&wire.Load{Slots: 8, Running: i % 8, WaitLong: time.Duration(i%5) * time.Millisecond, TokensPerS: 2000})
 			c.Done(routing.NoFailure)
 		}), nil
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -96,5 +96,12 @@
 		}
 		names = append(names, name)
 	}
-	return fmt.Sprintf("%s of %d", strings.Join(names, " "), a.Eligible)
+	out := fmt.Sprintf("%s of %d", strings.Join(names, " "), a.Eligible)
+	if a.KeptTokens > 0 {
+		out += fmt.Sprintf(", %d prompt tokens expected in its cache", a.KeptTokens)
+	}
+	if a.Spilled {
+		out += ", another target held more of the prompt"
+	}
+	return out
 }
--- a/internal/decision/record.go
+++ b/internal/decision/record.go
@@ -19,8 +19,10 @@
 type Attempt struct {
 	Number     int             `json:"number"`
 	Target     string          `json:"target"`
-	Considered []Candidate     `json:"considered"` // the chosen target first, then some of the others
-	Eligible   int             `json:"eligible"`   // number of targets that were eligible
+	Considered []Candidate     `json:"considered"`            // the chosen target first, then some of the others
+	Eligible   int             `json:"eligible"`              // number of targets that were eligible
+	KeptTokens int             `json:"kept_tokens,omitempty"` // beginning of the prompt that the target was believed to hold
+	Spilled    bool            `json:"spilled,omitempty"`     // another target held more, but its wait would have cost more than that saves
 	Started    time.Time       `json:"started"`
 	Duration   time.Duration   `json:"duration_ns"`
 	FirstFrame time.Duration   `json:"first_frame_ns"` // from Started to the first frame; 0 if no frame arrived
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -198,7 +198,7 @@
 func (s *session) recordAttempt(v attemptResult) {
 	d := decision.Attempt{
 		Number: s.attempt.ID.Number, Target: s.choice.VM.Name, Considered: s.choice.Considered,
-		Eligible: s.choice.Eligible, Started: s.startedAt, Duration: s.exec.entry.opt.Clock.Now().Sub(s.startedAt),
+		Eligible: s.choice.Eligible, KeptTokens: s.choice.KeptTokens, Spilled: s.choice.Spilled, Started: s.startedAt, Duration: s.exec.entry.opt.Clock.Now().Sub(s.startedAt),
 		FirstFrame: s.firstFrame, Resumes: s.resumes, Reason: v.reason, Message: v.message, Outcome: outcome.Unknown,
 	}
 	if v.cause != nil {
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -101,6 +101,9 @@
 			return nil, x.finalRefusal(last)
 		}
 		last = x.tryTarget(caller, bounded, choice)
+		if last.notRun {
+			choice.NotRun()
+		}
 		choice.Done(last.failure)
 		if last.answer != nil {
 			return last.answer, nil
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,8 @@
 
 	"github.com/camphorbank/camphorbank/internal/config"
 	"github.com/camphorbank/camphorbank/internal/outcome"
+	"github.com/camphorbank/camphorbank/internal/placement"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/routing"
 	"github.com/camphorbank/camphorbank/internal/ticket"
 	"github.com/camphorbank/camphorbank/internal/wire"
@@ -54,11 +56,8 @@
 	Restart() error // tells the caller to discard the text received so far
 }
 
-const (
-	// promptBytesPerToken and promptTokensPerGeneratedToken have the same values as in package admission.
-	promptBytesPerToken           = 4
-	promptTokensPerGeneratedToken = 20
-)
+// promptBytesPerToken has the same value as in package admission.
+const promptBytesPerToken = 4
 
 // Tokens estimates the largest number of tokens of a draft: those of its prompt and maxTokens generated ones.
 func Tokens(prompt string, maxTokens int) int { return len(prompt)/promptBytesPerToken + maxTokens }
@@ -82,9 +81,9 @@
 }
 
 // workTokens returns the expected work as a number of generated tokens. An engine processes about
-// promptTokensPerGeneratedToken tokens of a prompt in the time in which it generates one token.
+// placement.PromptTokensPerGenerated tokens of a prompt in the time in which it generates one token.
 func (r *Request) workTokens() int64 {
-	return int64(len(r.Attempt.Prompt)/promptBytesPerToken/promptTokensPerGeneratedToken + r.Attempt.MaxTokens)
+	return int64(len(r.Attempt.Prompt)/promptBytesPerToken/placement.PromptTokensPerGenerated + r.Attempt.MaxTokens)
 }
 
 // query returns the routing query for the request.
@@ -94,7 +93,7 @@
 		Short: r.isShort(), Tokens: r.workTokens(),
 	}
 	if r.isDraft() {
-		q.Prefix = routing.PrefixHash(r.Attempt.Model, r.Attempt.Adapter, r.Attempt.Prompt)
+		q.Prompt = promptcache.OfText(r.Attempt.Model, r.Attempt.Adapter, r.Attempt.Prompt)
 	}
 	return q
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/admission"
@@ -34,6 +35,8 @@
 	table  *attempt.Table
 	queue  *admission.Queue
 	causes drainCauses
+
+	cacheTokens atomic.Int64 // as the engine last reported
 }
 
 // New returns a local process. Its handler can serve attempts at once; Run must be started for its periodic work.
@@ -56,6 +59,7 @@
 	load.Incarnation = l.opt.Incarnation
 	load.Draining, load.Updating = l.Draining(), l.updatingOnly()
 	load.Revision = l.opt.Revision()
+	load.CacheTokens = int(l.cacheTokens.Load())
 	return &load
 }
 
@@ -100,6 +104,7 @@
 		readCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 		if load, err := l.opt.Engine.Load(readCtx); err == nil {
 			l.queue.SetTarget(load.Slots, load.TokensPerS)
+			l.cacheTokens.Store(int64(load.CacheTokens))
 		}
 		cancel()
 		select {
--- a/internal/measure/figures_entry.go
+++ b/internal/measure/figures_entry.go
@@ -46,7 +46,7 @@
 func ourDecisions(vms []wire.VM, seed uint64) func(i int) {
 	r := routing.New(routing.Options{DataCentre: "dc-0", Clock: port.SystemClock{}, Seed: seed})
 	return func(i int) {
-		c := r.Pick(&routing.Query{Kind: wire.KindDraft, Serves: "m", Targets: vms, Tokens: 100, Prefix: uint64(i%64) + 1})
+		c := r.Pick(&routing.Query{Kind: wire.KindDraft, Serves: "m", Targets: vms, Tokens: 100, Prompt: promptOf(uint64(i%64) + 1)})
 		c.Report(&wire.Load{Slots: 8, Running: i % 8, WaitLong: time.Duration(i%5) * time.Millisecond, TokensPerS: 2000})
 		c.Done(routing.NoFailure)
 	}
--- a/internal/measure/figures_prefix.go
+++ b/internal/measure/figures_prefix.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/enginemodel"
+	"github.com/camphorbank/camphorbank/internal/placement"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/routing"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
@@ -22,6 +24,10 @@
 	prefixArrivalInterval = time.Millisecond // between two arrivals, which makes the load about half of the capacity
 	prefixMissTime        = 80 * time.Millisecond
 	prefixHitTime         = 50 * time.Millisecond
+
+	prefixSlotRate      = 1000 // tokens that a slot generates in a second
+	prefixTokens        = int((prefixMissTime - prefixHitTime) * prefixSlotRate * placement.PromptTokensPerGenerated / time.Second)
+	prefixRequestTokens = int64(prefixMissTime * prefixSlotRate / time.Second) // work of a request in generated tokens
 )
 
 // prefixFigures lists the figures of prefix affinity.
@@ -37,7 +43,8 @@
 	ours := newPrefixTrial(seed)
 	router := routing.New(routing.Options{DataCentre: "a", Clock: ours.sim, Seed: uint64(seed)})
 	ours.run(func(prefix uint64) (int, func(wire.Load)) {
-		c := router.Pick(&routing.Query{Kind: wire.KindDraft, Serves: "m", Targets: ours.vms, Tokens: 50, Prefix: prefix})
+		c := router.Pick(&routing.Query{Kind: wire.KindDraft, Serves: "m", Targets: ours.vms,
+			Tokens: prefixRequestTokens, Prompt: promptOf(prefix)})
 		var target int
 		_, _ = fmt.Sscanf(c.VM.Name, "target-%d", &target)
 		return target, func(l wire.Load) {
@@ -56,6 +63,11 @@
 	}, nil
 }
 
+// promptOf returns a prompt that consists of a prefix.
+func promptOf(prefix uint64) promptcache.Prompt {
+	return promptcache.Prompt{Tokens: prefixTokens, Prefixes: []promptcache.Prefix{{Hash: prefix, Tokens: prefixTokens}}}
+}
+
 // prefixTrial simulates engines with prefix caches in virtual time.
 type prefixTrial struct {
 	sim        *simulation
@@ -93,7 +105,7 @@
 			p.begin(target)
 			p.sim.after(took, func() {
 				p.running[target]--
-				done(wire.Load{Slots: prefixSlots, Running: p.running[target], TokensPerS: prefixSlots * 1000})
+				done(wire.Load{Slots: prefixSlots, Running: p.running[target], TokensPerS: prefixSlots * prefixSlotRate, CacheTokens: prefixesPerCache * prefixTokens})
 			})
 		})
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -45,6 +45,8 @@
 	Running    int     `json:"running"`
 	Waiting    int     `json:"waiting"`
 	TokensPerS float64 `json:"tokens_per_s"` // total of all slots
+	// CacheTokens is the number of prompt tokens that the engine can keep for later requests, 0 if unknown.
+	CacheTokens int `json:"cache_tokens"`
 }
 
 // Engine is the interface to the model engine of a local process.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -5,29 +5,24 @@
 	"time"
 )
 
-// waitTolerance is the difference of predicted waits that is not significant, given the age of the reports.
-const waitTolerance = 5 * time.Millisecond
+const (
+	// waitTolerance is the difference of predicted waits that is not significant, given the age of the reports.
+	waitTolerance = 5 * time.Millisecond
+	// maxRandomDraws bounds the random draws of a target near the best score before the targets are listed.
+	maxRandomDraws = 8
+)
+
+// nearBest returns the highest score that is not significantly above the best one.
+func (s *scan) nearBest() time.Duration { return s.bestScore + max(waitTolerance, s.bestScore/4) }
 
 // pickOfTwo draws two of the targets whose score is near the best one and returns the better of them. If the best one
 // were always chosen, all entry processes with the same reports would send their requests to the same target.
 func (p *pool) pickOfTwo(s *scan, rng *rand.Rand) int {
-	limit := s.bestScore + max(waitTolerance, s.bestScore/4)
-	p.nearBest = p.nearBest[:0]
-	for i, score := range p.scores {
-		if score >= 0 && score <= limit {
-			p.nearBest = append(p.nearBest, int32(i))
-		}
-	}
-	n := len(p.nearBest)
-	first := int(p.nearBest[rng.IntN(n)])
-	if n == 1 {
+	first := p.drawNear(s.nearBest(), -1, rng)
+	second := p.drawNear(s.nearBest(), first, rng)
+	if second < 0 {
 		return first
 	}
-	// The second draw excludes the first one, whose place the last target of the list takes.
-	second := int(p.nearBest[rng.IntN(n-1)])
-	if second == first {
-		second = int(p.nearBest[n-1])
-	}
 	s.drawn = [2]int{first, second}
 	if p.better(second, first) {
 		return second
@@ -35,9 +30,29 @@
 	return first
 }
 
+// drawNear draws a target other than the excluded one with a score of at most limit. It returns -1 if there is none.
+func (p *pool) drawNear(limit time.Duration, excluded int, rng *rand.Rand) int {
+	near := func(i int) bool { return i != excluded && p.scores[i] <= limit }
+	for range maxRandomDraws {
+		if i := rng.IntN(len(p.scores)); near(i) {
+			return i
+		}
+	}
+	p.drawList = p.drawList[:0]
+	for i := range p.scores {
+		if near(i) {
+			p.drawList = append(p.drawList, int32(i))
+		}
+	}
+	if len(p.drawList) == 0 {
+		return -1
+	}
+	return int(p.drawList[rng.IntN(len(p.drawList))])
+}
+
 func (p *pool) better(a, b int) bool {
 	if p.scores[a] != p.scores[b] {
 		return p.scores[a] < p.scores[b]
 	}
-	return p.scanned[a].inFlight < p.scanned[b].inFlight
+	return p.targets[a].inFlight < p.targets[b].inFlight
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/decision"
+	"github.com/camphorbank/camphorbank/internal/placement"
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
@@ -25,13 +27,13 @@
 // Query describes a request that needs a target.
 type Query struct {
 	Kind     wire.Kind
-	Serves   string    // model or plain service
-	Targets  []wire.VM // shared and read-only; the same slice until the fleet changes
-	Tried    []string  // names of the targets to exclude
-	Short    bool      // the request belongs to the short lane
-	Tokens   int64     // expected work
-	Prefix   uint64    // hash of the leading part of the prompt, 0 for none
-	MayProbe bool      // may probe a target whose circuit is open although others are eligible
+	Serves   string             // model or plain service
+	Targets  []wire.VM          // shared and read-only; the same slice until the fleet changes
+	Tried    []string           // names of the targets to exclude
+	Short    bool               // the request belongs to the short lane
+	Tokens   int64              // expected work
+	Prompt   promptcache.Prompt // without prefixes if the target caches none of it
+	MayProbe bool               // may probe a target whose circuit is open although others are eligible
 }
 
 // Choice is the target chosen for a dispatch. Done must be called exactly once.
@@ -41,11 +43,15 @@
 	Probe      bool                 // tests a target whose circuit is open
 	Considered []decision.Candidate // the choice and the best others
 	Eligible   int                  // targets that passed the filter
+	KeptTokens int                  // beginning of the prompt that the target is believed to hold
+	Spilled    bool                 // another target holds more of the prompt, but its wait costs more than that saves
 
 	router   *Router
 	pool     *pool
 	tokens   int64
 	reported bool
+	use      *promptcache.Use[string] // nil if the prompt has no prefixes
+	notRun   bool
 }
 
 // Router chooses targets by their load. It is safe for concurrent use.
@@ -53,9 +59,10 @@
 	opt   Options
 	start time.Time
 
-	mu    sync.Mutex
-	rng   *rand.Rand
-	pools map[poolKey]*pool
+	mu      sync.Mutex
+	rng     *rand.Rand
+	pools   map[poolKey]*pool
+	prompts *promptcache.Tracker[string] // by the name of the target
 }
 
 type poolKey struct {
@@ -67,7 +74,8 @@
 func New(opt Options) *Router {
 	return &Router{
 		opt: opt, start: opt.Clock.Now(), pools: map[poolKey]*pool{},
-		rng: rand.New(rand.NewPCG(opt.Seed, 0x5bd1e995)),
+		rng:     rand.New(rand.NewPCG(opt.Seed, 0x5bd1e995)),
+		prompts: promptcache.New[string](),
 	}
 }
 
@@ -78,15 +86,16 @@
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.pool(q)
+	p := r.pool(q, now)
 	s := p.scan(q, now)
-	i := p.choose(q, &s, r.rng)
+	i := r.choose(p, q, &s, now, r.rng)
 	if i < 0 {
 		return nil
 	}
 	considered := p.considered(i, &s)
-	c := p.dispatch(r, q, i)
+	c := r.dispatch(p, q, i, now)
 	c.Considered, c.Eligible = considered, s.eligible
+	c.Spilled = s.holder.tokens > c.KeptTokens
 	return c
 }
 
@@ -96,25 +105,28 @@
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.pool(q)
+	p := r.pool(q, now)
 	i, ok := p.index[name]
 	if !ok {
 		return nil
 	}
-	p.scores[i] = p.scanned[i].score(q.lane(), now)
-	c := p.dispatch(r, q, i)
-	c.Considered, c.Eligible = p.considered(i, &scan{bestIndex: i, pref: newPreferred(), drawn: [2]int{-1, -1}}), 1
+	p.scores[i] = p.targets[i].estimate(q.lane(), now).FirstToken()
+	c := r.dispatch(p, q, i, now)
+	s := newScan()
+	c.Considered, c.Eligible = p.considered(i, &s), 1
 	return c
 }
 
-func (r *Router) pool(q *Query) *pool {
+func (r *Router) pool(q *Query, now time.Duration) *pool {
 	key := poolKey{q.Kind, q.Serves}
 	p := r.pools[key]
 	if p == nil {
 		p = &pool{}
 		r.pools[key] = p
 	}
-	p.setTargets(q.Targets, r.opt.DataCentre)
+	for _, name := range p.setTargets(q.Targets, r.opt.DataCentre, now) {
+		r.prompts.Forget(name)
+	}
 	return p
 }
 
@@ -125,15 +137,20 @@
 	return laneLong
 }
 
-func (p *pool) dispatch(r *Router, q *Query, i int) *Choice {
+// dispatch counts a dispatch to a target.
+func (r *Router) dispatch(p *pool, q *Query, i int, now time.Duration) *Choice {
 	t := &p.targets[i]
-	probe := t.breaker.open()
+	c := &Choice{VM: p.list[i], Wait: p.scores[i], Probe: t.breaker.open(), router: r, pool: p}
+	if c.use = r.recordPrompt(p, q, i); c.use != nil {
+		c.KeptTokens = c.use.Kept
+	}
+	c.tokens = max(0, q.Tokens-int64(c.KeptTokens/placement.PromptTokensPerGenerated))
 	t.breaker.recordDispatch()
 	t.pending++
-	t.pendingTokens += q.Tokens
-	p.scanned[i].inFlight++
-	p.refreshScanEntry(i)
-	return &Choice{VM: p.list[i], Wait: p.scores[i], Probe: probe, router: r, pool: p, tokens: q.Tokens}
+	t.pendingTokens += c.tokens
+	t.inFlight++
+	p.refresh(i, now)
+	return c
 }
 
 // Report records a load report that came with a frame of the dispatch.
@@ -145,11 +162,26 @@
 	if i < 0 {
 		return
 	}
+	c.router.recordIncarnation(&c.pool.targets[i], c.VM.Name, l.Incarnation)
 	c.pool.recordReport(i, l, now)
 	c.clearPendingLocked(&c.pool.targets[i])
-	c.pool.refreshScanEntry(i)
+	c.pool.refresh(i, now)
+}
+
+// recordIncarnation forgets the prompts of a target that has restarted. The caller holds the lock.
+func (r *Router) recordIncarnation(t *target, name, incarnation string) {
+	if incarnation == "" || incarnation == t.incarnation {
+		return
+	}
+	if t.incarnation != "" {
+		r.prompts.Forget(name)
+	}
+	t.incarnation = incarnation
 }
 
+// NotRun records that the target did not run the dispatch. It must precede Done.
+func (c *Choice) NotRun() { c.notRun = true }
+
 // Suspect opens the circuit of the target before the end of the dispatch.
 func (c *Choice) Suspect() {
 	now := c.router.now()
@@ -157,7 +189,7 @@
 	defer c.router.mu.Unlock()
 	if i := c.pool.indexOf(c.VM.Name); i >= 0 {
 		c.pool.targets[i].breaker.recordEnd(Unreachable, now)
-		c.pool.refreshScanEntry(i)
+		c.pool.refresh(i, now)
 	}
 }
 
@@ -166,6 +198,9 @@
 	now := c.router.now()
 	c.router.mu.Lock()
 	defer c.router.mu.Unlock()
+	if c.use != nil {
+		c.use.Ended(!c.notRun && f != Unreachable)
+	}
 	i := c.pool.indexOf(c.VM.Name)
 	if i < 0 {
 		return
@@ -173,8 +208,8 @@
 	t := &c.pool.targets[i]
 	c.clearPendingLocked(t)
 	t.breaker.recordEnd(f, now)
-	c.pool.scanned[i].inFlight = max(0, c.pool.scanned[i].inFlight-1)
-	c.pool.refreshScanEntry(i)
+	t.inFlight = max(0, t.inFlight-1)
+	c.pool.refresh(i, now)
 }
 
 // clearPendingLocked takes the dispatch out of the target's pending work, which no report includes. The caller holds
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
@@ -28,6 +29,15 @@
 	return New(Options{DataCentre: "dc0", Clock: clock, Seed: seed}), clock
 }
 
+// promptWith returns a prompt of 900 tokens that begins with a prefix of 600, or with none for 0.
+func promptWith(prefix uint64) promptcache.Prompt {
+	p := promptcache.Prompt{Tokens: 900}
+	if prefix != 0 {
+		p.Prefixes = []promptcache.Prefix{{Hash: prefix, Tokens: 600}}
+	}
+	return p
+}
+
 // targetModel is the expected state of one target in TestPickKeepsToEligibleTargets.
 type targetModel struct {
 	drainUntil, openUntil time.Time
@@ -63,7 +73,7 @@
 					!slices.Contains(tried, vm.Name)
 			}
 			c := r.Pick(&Query{Targets: vms, Tried: tried, Tokens: 10, MayProbe: rapid.Bool().Draw(t, "may_test"),
-				Prefix: rapid.Uint64Range(0, 3).Draw(t, "prefix")})
+				Prompt: promptWith(rapid.Uint64Range(0, 3).Draw(t, "prefix"))})
 			if c == nil {
 				for name, eligible := range ok {
 					if eligible {
@@ -133,7 +143,7 @@
 			}
 			p := r.pools[poolKey{}]
 			p.recordReport(p.indexOf("a"), c.load, r.now()-c.passed)
-			p.refreshScanEntry(p.indexOf("a"))
+			p.refresh(p.indexOf("a"), r.now())
 		}
 		if picked != c.picked {
 			t.Errorf("%s: chosen %v, want %v", c.name, picked, c.picked)
@@ -151,7 +161,7 @@
 		counts := map[string]int{}
 		var choices []*Choice
 		for range 40 * n {
-			c := r.Pick(&Query{Targets: vms, Tokens: 100, Prefix: rapid.Uint64Range(0, 1).Draw(t, "prefix")})
+			c := r.Pick(&Query{Targets: vms, Tokens: 100, Prompt: promptWith(rapid.Uint64Range(0, 1).Draw(t, "prefix"))})
 			counts[c.VM.Name]++
 			choices = append(choices, c)
 		}
@@ -163,8 +173,8 @@
 		for _, c := range choices {
 			c.Done(NoFailure)
 		}
-		for i, tg := range r.pools[poolKey{}].targets {
-			if r.pools[poolKey{}].scanned[i].inFlight != 0 || tg.pending != 0 || tg.pendingTokens != 0 {
+		for _, tg := range r.pools[poolKey{}].targets {
+			if tg.inFlight != 0 || tg.pending != 0 || tg.pendingTokens != 0 {
 				t.Fatalf("work left after all dispatches ended: %+v", tg)
 			}
 		}
@@ -177,7 +187,7 @@
 	r, _ := newRouter(1)
 	vms := fleet(20)
 	pick := func(vms []wire.VM, prefix uint64) string {
-		c := r.Pick(&Query{Targets: vms, Prefix: prefix})
+		c := r.Pick(&Query{Targets: vms, Prompt: promptWith(prefix)})
 		defer c.Done(NoFailure)
 		return c.VM.Name
 	}
@@ -196,7 +206,7 @@
 	}
 	used := map[string]bool{}
 	for range 60 {
-		used[r.Pick(&Query{Targets: vms, Prefix: 7}).VM.Name] = true
+		used[r.Pick(&Query{Targets: vms, Prompt: promptWith(7)}).VM.Name] = true
 	}
 	if len(used) < 10 {
 		t.Errorf("60 requests with one prefix used only %d targets", len(used))
@@ -213,7 +223,7 @@
 				vms := fleet(n)
 				b.ReportAllocs()
 				for b.Loop() {
-					r.Pick(&Query{Targets: vms, Tokens: 100, Prefix: prefix}).Done(NoFailure)
+					r.Pick(&Query{Targets: vms, Tokens: 100, Prompt: promptWith(prefix)}).Done(NoFailure)
 				}
 			})
 		}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/placement"
+)
 
 const (
 	// otherDataCentreDelay is the time of a round trip to another data centre of the region, at 1.5 ms one way.
@@ -9,15 +13,19 @@
 	fullBatchDelay = 10 * time.Millisecond
 )
 
-// score returns the predicted wait of a request at the target: the reported wait less the time since the report, plus
-// delays for the slots that are taken, for the router's own dispatches that the report does not include, and for the
-// distance.
-func (s *scanEntry) score(lane int, now time.Duration) time.Duration {
-	age := now - s.reportAt
-	if age >= maxReportAge {
-		return s.extraDelay
+// estimate returns the prediction for a target that holds nothing of the prompt, without the time for processing the
+// prompt, which is the same for all such targets. The wait consists of the reported one, less the time since the report,
+// and of the router's own dispatches that the report does not include.
+func (t *target) estimate(lane int, now time.Duration) placement.Estimate {
+	e := placement.Estimate{Slot: t.pendingWait()}
+	if t.otherDataCentre {
+		e.Network = otherDataCentreDelay
+	}
+	if age := now - t.reportAt; age < maxReportAge {
+		e.Slot += max(0, t.wait[lane]-age)
+		e.Step = t.slotDelay
 	}
-	return max(0, s.wait[lane]-age) + s.slotDelay + s.extraDelay
+	return e
 }
 
 // pendingWait returns the wait that the router's own dispatches since the last report add.
--- a/internal/routing/targets.go
+++ b/internal/routing/targets.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,79 +33,74 @@
 // neverReported is the report time of a target that has not reported. It makes the report older than maxReportAge.
 const neverReported = -1 << 62
 
-// scanEntry is the part of a target's state that every decision reads. It fits into one cache line, since a decision
-// reads it for all targets of a model. Times are offsets from the router's start.
-type scanEntry struct {
-	hash         uint64                   // of the name, for rendezvous hashing
-	blockedUntil time.Duration            // not eligible before
-	wait         [laneCount]time.Duration // as reported
-	reportAt     time.Duration
-	slotDelay    time.Duration // additional time to the first token for the slots taken, as reported
-	extraDelay   time.Duration // for the distance, and for own dispatches that no report includes yet
-	inFlight     int32         // own dispatches that have not ended
-	open         bool          // the circuit is open; a dispatch is a test
+// target is the state of a target. Times are offsets from the router's start.
+type target struct {
+	otherDataCentre  bool
+	live             bool                     // not marked as leaving in the VM list
+	countedOpen      bool                     // counted in columns.open
+	drainUntil       time.Duration            // end of the exclusion by a reported drain or update
+	reportAt         time.Duration            // time of the last report
+	wait             [laneCount]time.Duration // as reported
+	slotDelay        time.Duration            // additional time to the first token for the slots taken, as reported
+	perToken         time.Duration            // as reported, 0 if unknown
+	slots            int                      // as reported
+	cacheTokens      int                      // size of the prompt cache as reported, 0 if unknown
+	reportedRequests int                      // running and queued, as reported
+	incarnation      string                   // as reported, empty if unknown
+	inFlight         int                      // own dispatches that have not ended
+	pending          int                      // own dispatches that no report includes yet
+	pendingTokens    int64                    // tokens of these dispatches
+	breaker          breaker
 }
 
-// target is the rest of a target's state.
-type target struct {
-	otherDataCentre bool
-	live            bool          // not marked as leaving in the VM list
-	drainUntil      time.Duration // end of the exclusion by a reported drain or update
-	perToken        time.Duration // as reported, 0 if unknown
-	slots           int           // as reported
-	pending         int           // own dispatches that no report includes yet
-	pendingTokens   int64         // tokens of these dispatches
-	breaker         breaker
+// blockedUntil returns the time before which the target is not eligible.
+func (t *target) blockedUntil() time.Duration {
+	if !t.live {
+		return never
+	}
+	return max(t.drainUntil, t.breaker.blockedUntil())
 }
 
 // pool is the state of the targets of one model or plain service. Its slices are parallel to the list that
 // Fleet.Targets returns.
 type pool struct {
-	list     []wire.VM
-	scanned  []scanEntry
-	targets  []target
-	index    map[string]int
-	scores   []time.Duration // scratch space of one decision
-	nearBest []int32         // scratch space of one decision
+	list    []wire.VM
+	targets []target
+	index   map[string]int
+	columns
+	drawList []int32 // scratch space of one decision
 }
 
-// setTargets adopts a new list of targets and keeps the state of those that remain.
-func (p *pool) setTargets(list []wire.VM, dataCentre string) {
+// setTargets adopts a new list of targets and keeps the state of those that remain. It returns the names of those that
+// do not.
+func (p *pool) setTargets(list []wire.VM, dataCentre string, now time.Duration) (removed []string) {
 	if sameSlice(p.list, list) {
-		return
+		return nil
 	}
 	next := pool{
-		list: list, scanned: make([]scanEntry, len(list)), targets: make([]target, len(list)),
-		index: make(map[string]int, len(list)), scores: make([]time.Duration, len(list)),
-		nearBest: make([]int32, 0, len(list)),
+		list: list, targets: make([]target, len(list)), index: make(map[string]int, len(list)),
+		columns: newColumns(len(list)), drawList: make([]int32, 0, len(list)),
 	}
 	for i := range list {
-		next.scanned[i].reportAt = neverReported
-		next.targets[i].slots = defaultSlots
+		t := &next.targets[i]
+		t.reportAt, t.slots = neverReported, defaultSlots
 		if old, ok := p.index[list[i].Name]; ok {
-			next.scanned[i], next.targets[i] = p.scanned[old], p.targets[old]
+			*t = p.targets[old]
+			t.countedOpen = false
 		}
-		next.scanned[i].hash = xxhash.Sum64String(list[i].Name)
-		next.targets[i].otherDataCentre = list[i].DataCentre != dataCentre
-		next.targets[i].live = list[i].State == wire.StateLive
+		next.hashes[i] = xxhash.Sum64String(list[i].Name)
+		t.otherDataCentre = list[i].DataCentre != dataCentre
+		t.live = list[i].State == wire.StateLive
 		next.index[list[i].Name] = i
-		next.refreshScanEntry(i)
+		next.refresh(i, now)
 	}
-	*p = next
-}
-
-// refreshScanEntry derives the scan entry from the target after a change.
-func (p *pool) refreshScanEntry(i int) {
-	t, s := &p.targets[i], &p.scanned[i]
-	s.open = t.breaker.open()
-	s.blockedUntil = max(t.drainUntil, t.breaker.blockedUntil())
-	if !t.live {
-		s.blockedUntil = math.MaxInt64
-	}
-	s.extraDelay = t.pendingWait()
-	if t.otherDataCentre {
-		s.extraDelay += otherDataCentreDelay
+	for name := range p.index {
+		if _, remains := next.index[name]; !remains {
+			removed = append(removed, name)
+		}
 	}
+	*p = next
+	return removed
 }
 
 // sameSlice returns whether a and b are the same slice. The fleet view returns the same read-only slice until the VM
@@ -123,9 +117,9 @@
 	return -1
 }
 
-// recordReport records a load report. The caller calls refreshScanEntry afterwards.
+// recordReport records a load report. The caller calls refresh afterwards.
 func (p *pool) recordReport(i int, l *wire.Load, now time.Duration) {
-	t, s := &p.targets[i], &p.scanned[i]
+	t := &p.targets[i]
 	t.slots = defaultSlots
 	if l.Slots > 0 {
 		t.slots = l.Slots
@@ -141,7 +135,9 @@
 	case l.Draining:
 		t.drainUntil = now + drainMarkDuration
 	}
-	s.reportAt = now
-	s.wait = [laneCount]time.Duration{laneShort: l.WaitShort, laneLong: l.WaitLong}
-	s.slotDelay = fullBatchDelay * time.Duration(l.Running+l.Queued) / time.Duration(t.slots)
+	t.reportAt = now
+	t.wait = [laneCount]time.Duration{laneShort: l.WaitShort, laneLong: l.WaitLong}
+	t.reportedRequests = l.Running + l.Queued
+	t.slotDelay = fullBatchDelay * time.Duration(t.reportedRequests) / time.Duration(t.slots)
+	t.cacheTokens = l.CacheTokens
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -131,6 +131,7 @@
 	WaitShort     time.Duration `json:"wait_short"` // predicted wait of a short request
 	WaitLong      time.Duration `json:"wait_long"`  // predicted wait of a long request
 	TokensPerS    float64       `json:"tokens_per_s"`
+	CacheTokens   int           `json:"cache_tokens,omitempty"` // prompt tokens that the target can keep for later requests, 0 if unknown
 	Revision      int64         `json:"revision"`
 }
 
--- a/test/standin/engine/main.go
+++ b/test/standin/engine/main.go
@@ -38,6 +38,8 @@
 	Running    int     `json:"running"`
 	Waiting    int     `json:"waiting"`
 	TokensPerS float64 `json:"tokens_per_s"`
+	// CacheTokens is the size of the prefix cache.
+	CacheTokens int `json:"cache_tokens"`
 }
 
 type engine struct {
@@ -45,6 +47,7 @@
 	tokenTime, prefillTimePerKiB time.Duration // prefillTimePerKiB is for prompt text that is not cached
 	batch                        batch
 	cache                        *enginemodel.PrefixCache
+	cacheTokens                  int
 
 	mu      sync.Mutex
 	faults  standin.EngineFaults
@@ -68,6 +71,7 @@
 	checksFence := flag.Bool("fencing", true, "refuse commands with old fencing numbers")
 	flag.Parse()
 	e := &engine{slots: *slots, tokenTime: *tokenTime, prefillTimePerKiB: *prefillTimePerKiB, batch: batch{freeSlots: *slots}, cancels: map[string]context.CancelFunc{}}
+	e.cacheTokens = *cacheBlocks * cacheBlockBytes / bytesPerToken
 	e.cache = enginemodel.NewPrefixCache(*cacheBlocks, cacheBlockBytes)
 	go e.updateLoadReport(*loadReportInterval)
 	mux := http.NewServeMux()
@@ -102,7 +106,7 @@
 		running, waiting := e.slots-e.batch.freeSlots, len(e.batch.waiting)
 		e.batch.mu.Unlock()
 		e.mu.Lock()
-		e.load = loadReport{Slots: e.slots, Running: running, Waiting: waiting, TokensPerS: float64(e.slots) / e.tokenTime.Seconds()}
+		e.load = loadReport{Slots: e.slots, Running: running, Waiting: waiting, TokensPerS: float64(e.slots) / e.tokenTime.Seconds(), CacheTokens: e.cacheTokens}
 		e.mu.Unlock()
 	}
 }
@@ -146,6 +150,9 @@
 // cacheBlockBytes is the size of one block of the prefix cache.
 const cacheBlockBytes = 256
 
+// bytesPerToken is the mean length of a token of a prompt.
+const bytesPerToken = 4
+
 // waitForPrefill waits for the time that the uncached part of the prompt takes. It reports whether ctx was still active
 // at the end.
 func (e *engine) waitForPrefill(ctx context.Context, prompt string) bool {
