balance: weigh kept prefixes of prompts on the users' platform

The score was the predicted step and the distance. Where a shared prefix would save 2 ms or more, the time for processing the rest of the prompt, and of the prompts that are processed before, now counts too. Requests with shorter shared prefixes are placed as before, from the same random numbers (TestShortPrefixChangesNothing, TestScoreWithoutPrompt).

Counter kept_prompts_total, and kept= and spilled in the tries of a request's log line.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/placement"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -49,6 +51,7 @@
 	Returning bool                           // the caller was refused before and gives up if it is refused again
 	Priority  int                            // 0 is the most urgent
 	Exclude   map[targetset.Incarnation]bool // targets that have already failed this request
+	Prompt    promptcache.Prompt             // of a request to a model engine; zero if it is not known
 	Targets   func() []*targetset.Target     // lists the targets of the service
 	// WaitsForOpening is called when the job begins to wait because no target of the service takes requests. It may be nil,
 	// and must neither block nor call the balancer.
@@ -71,6 +74,7 @@
 	service  string
 	progress *progress // progress of the target's group; nil if the group is unknown
 	engine   bool      // the target is an engine
+	promptLease
 }
 
 // Result is how a request ended at its target.
@@ -95,6 +99,8 @@
 	// Connected reports whether there is an idle connection to a target's address. It may be nil, and must not be
 	// changed once the balancer is in use.
 	Connected func(addr string) bool
+	// Random returns the random parts of scores, in [0, 1). It must not be changed once the balancer is in use.
+	Random func() float64
 
 	mu             sync.Mutex
 	now            func() time.Time
@@ -105,6 +111,7 @@
 	groups         map[string]*group
 	groupByEngine  map[string]*group // by the address of a rank's engine
 	queues         map[string]*queue // by service
+	prompts        *promptcache.Tracker[*targetState]
 	// progress is stored by the name of the group and not in group, because each report replaces the group.
 	progress map[string]*progress
 }
@@ -116,6 +123,7 @@
 	health         health
 	lastEventGap   time.Duration // latest gap between two events of a stream
 	lastEventGapAt time.Time     // when it was observed
+	unprocessed    time.Duration // expected time for processing the prompts of requests without an event
 }
 
 // eventGapMaxAge is the time for which the gap between two events counts as the present speed of a target.
@@ -131,7 +139,8 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{Local: dataCentre, now: now, states: map[targetset.Incarnation]*targetState{},
 		peerInFlight: map[string]map[string]int{}, peerReportedAt: map[string]time.Time{}, peerTotal: map[string]int{}, groups: map[string]*group{},
-		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{}}
+		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{},
+		prompts: promptcache.New[*targetState](), Random: rand.Float64}
 }
 
 const (
@@ -157,6 +166,7 @@
 	now := b.now()
 	targets := job.Targets()
 	counts, groups := b.loads(targets, now)
+	plan := b.planPrompt(job)
 	var best *targetset.Target
 	bestScore := math.Inf(1)
 	reason := ReasonNoTargets
@@ -178,7 +188,7 @@
 			continue
 		}
 		reason = ReasonFull
-		score, ok := b.score(t, job, counts[i], g, groups[g], now)
+		score, ok := b.score(t, job, counts[i], g, groups[g], plan, now)
 		if ok && score < bestScore {
 			best, bestScore = t, score
 		}
@@ -193,21 +203,22 @@
 	if p != nil {
 		p.requestSent(now, maxEventGap(job))
 	}
-	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil}, ""
+	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil,
+		promptLease: b.promptSent(job, plan, best, s)}, ""
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
-// it is the predicted time of a step in seconds, for other targets the number of requests in flight plus a latency
+// it is the predicted time to the first token in seconds, for other targets the number of requests in flight plus a latency
 // penalty. It returns false if the target has no free place. An engine has one if a slot is free and, unless the caller
 // is returning, the predicted steps stay within the longest event gap of the job.
-func (b *Balancer) score(t *targetset.Target, job *Job, n int, g *group, l *groupLoad, now time.Time) (float64, bool) {
+func (b *Balancer) score(t *targetset.Target, job *Job, n int, g *group, l *groupLoad, plan *promptPlan, now time.Time) (float64, bool) {
 	latencyPenalty := b.extraLatency(t)
 	e := job.engine()
 	if e == nil {
 		if n >= t.Slots+int(queuedPerSlot*float64(t.Slots)) {
 			return 0, false
 		}
-		return float64(n) + latencyPenalty.Seconds()*1000*scoreJitter + rand.Float64()*scoreJitter, true
+		return float64(n) + latencyPenalty.Seconds()*1000*scoreJitter + b.Random()*scoreJitter, true
 	}
 	if g == nil && b.stateOf(t).slow(job, now) {
 		return 0, false
@@ -218,8 +229,9 @@
 	if n >= t.Slots || !job.Returning && stepTime(e, n+1, mean, reserved, pace) > maxEventGap(job) {
 		return 0, false
 	}
-	step := stepTime(e, n+1, mean, current, pace)
-	return (step + latencyPenalty).Seconds() * (1 + rand.Float64()*scoreJitter), true
+	step := placement.Estimate{Step: stepTime(e, n+1, mean, current, pace), Network: latencyPenalty}
+	score := step.FirstToken().Seconds() * (1 + b.Random()*scoreJitter)
+	return score + b.estimatePrompt(plan, t, pace).FirstToken().Seconds(), true
 }
 
 // extraLatency returns the latency expected from the location of a target and from the lack of an idle connection to
@@ -291,6 +303,7 @@
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	l.s.ownInFlight--
+	l.promptDone(r)
 	if l.progress != nil {
 		l.progress.running--
 	}
@@ -338,6 +351,7 @@
 	for i, s := range b.states {
 		if t := listed[i.ID]; s.ownInFlight == 0 && !s.quiet(b.now()) && (t == nil || t.Incarnation() != i) {
 			delete(b.states, i)
+			b.prompts.Forget(s)
 		}
 	}
 	b.dropOldReports(b.now())
--- a/internal/balance/progress.go
+++ b/internal/balance/progress.go
@@ -79,6 +79,7 @@
 func (l *Lease) EventReceived(gap time.Duration) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
+	l.promptProcessed()
 	now := l.b.now()
 	if l.progress != nil {
 		l.b.groupAnswered(l.progress, now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 	"github.com/camphorbank/camphorbank/internal/upstream"
@@ -61,7 +62,7 @@
 	lease.Done(result.leaseResult)
 	result.crashed = x.recordCrash(result)
 	x.record.Attempts = append(x.record.Attempts, Attempt{Target: t.ID, Group: lease.Group(),
-		Started: started.Sub(x.record.Started), Took: time.Since(started), Result: result.name, Ending: result.ending,
+		KeptTokens: lease.KeptTokens, Spilled: lease.Spilled, Started: started.Sub(x.record.Started), Took: time.Since(started), Result: result.name, Ending: result.ending,
 		Events: result.events, Err: err})
 	if result.final {
 		return false
@@ -108,6 +109,7 @@
 		Remaining: time.Until(x.deadline), Returning: x.returning(),
 		MaxWait: x.maxWait(),
 		Exclude: x.failedTargets,
+		Prompt:  promptcache.Prompt{Tokens: x.call.PromptTokens, Prefixes: x.call.PromptPrefixes},
 		Targets: func() []*targetset.Target { return x.g.Targets.Snapshot().ByService[x.service] },
 
 		WaitsForOpening: x.prompt.Waits,
--- a/internal/gateway/headertranslator.go
+++ b/internal/gateway/headertranslator.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 )
 
@@ -21,7 +22,9 @@
 	PromptTokens int           // 0 if unstated
 	// PromptParts are the parts of the prompt that other requests may share.
 	PromptParts []quarantine.Part
-	ResumeAfter string // id of the last event that the caller has; empty if it wants the whole stream
+	// PromptPrefixes are the beginnings of the prompt that consist of such parts, shortest first.
+	PromptPrefixes []promptcache.Prefix
+	ResumeAfter    string // id of the last event that the caller has; empty if it wants the whole stream
 }
 
 // Forward holds the information that the system adds to the headers of a request to a target.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -55,6 +55,9 @@
 	Ending  Ending // of the target's answer; empty if it was not read to its end
 	Events  int    // number of events that the target sent
 	Err     error
+
+	KeptTokens int  // beginning of the prompt that the target was believed to hold
+	Spilled    bool // another target held more of the prompt, but its first token was expected later
 }
 
 // Record describes how one request was handled. It is complete when the request has ended.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,7 @@
 	GroupEvents       = expvar.NewMap("group_events_total")       // events of the coordinated engine group, by kind
 	BalanceEvents     = expvar.NewMap("balance_events_total")     // changes in the state of targets and groups, by kind
 	QuarantineEvents  = expvar.NewMap("quarantine_events_total")  // crashes of engines and quarantines of parts of prompts, by kind
+	KeptPrompts       = expvar.NewMap("kept_prompts_total")       // attempts at targets believed to hold a part of the prompt, its tokens, and attempts elsewhere because of the wait, by kind
 	Gauges            = expvar.NewMap("gauge")                    // current values, by gauge name
 	ExpertLoads       = expvar.NewInt("experts_loaded_total")     // by all ranks of the coordinated groups
 	FirstByte         = newHistogram("first_byte_seconds")        // from arrival until the response headers are sent
--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -52,8 +52,8 @@
 }
 
 // formatAttempts returns the attempts of a request as comma-separated text:
-// TARGET@GROUP:RESULT/ENDING/EVENTS:START+DURATION(ERROR), where START is relative to the request's arrival. What does not
-// apply is left out.
+// TARGET@GROUP:RESULT/ENDING/EVENTS/kept=TOKENS/spilled:START+DURATION(ERROR), where START is relative to the request's
+// arrival. What does not apply is left out.
 func formatAttempts(list []gateway.Attempt) string {
 	out := make([]string, len(list))
 	for i, a := range list {
@@ -75,6 +75,12 @@
 	if a.Events > 0 {
 		b.WriteString("/" + strconv.Itoa(a.Events))
 	}
+	if a.KeptTokens > 0 {
+		b.WriteString("/kept=" + strconv.Itoa(a.KeptTokens))
+	}
+	if a.Spilled {
+		b.WriteString("/spilled")
+	}
 	b.WriteString(":" + a.Started.String() + "+" + a.Took.String())
 	if a.Err != nil {
 		b.WriteString("(" + a.Err.Error() + ")")
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -28,6 +28,7 @@
 	}
 	for _, a := range r.Attempts {
 		metrics.Attempts.Add(a.Result, 1)
+		countKeptPrompt(a)
 		if a.Ending != "" {
 			metrics.AnswerEndings.Add(string(a.Ending), 1)
 		}
@@ -41,6 +42,17 @@
 	}
 }
 
+// countKeptPrompt updates the metrics with what was believed about the prompt of an attempt.
+func countKeptPrompt(a gateway.Attempt) {
+	if a.KeptTokens > 0 {
+		metrics.KeptPrompts.Add("hit", 1)
+		metrics.KeptPrompts.Add("tokens", int64(a.KeptTokens))
+	}
+	if a.Spilled {
+		metrics.KeptPrompts.Add("spilled", 1)
+	}
+}
+
 // countGroup updates the metrics with an event of the coordinated engine group.
 func countGroup(e rankgroup.Event) {
 	metrics.GroupEvents.Add(string(e.Kind), 1)
@@ -80,7 +92,8 @@
 		Received: r.Started, Duration: r.Duration, Outcome: outcomeOf(r.Outcome), Reason: outcome.Reason(r.Reason),
 	}
 	for i, t := range r.Attempts {
-		a := decision.Attempt{Number: i + 1, Target: t.Target, Started: r.Started.Add(t.Started), Duration: t.Took, Message: t.Result}
+		a := decision.Attempt{Number: i + 1, Target: t.Target, Started: r.Started.Add(t.Started), Duration: t.Took, Message: t.Result,
+			KeptTokens: t.KeptTokens, Spilled: t.Spilled}
 		if t.Ending != "" {
 			a.Message += " (" + string(t.Ending) + ")"
 		}
--- a/internal/routetable/config.go
+++ b/internal/routetable/config.go
@@ -70,6 +70,9 @@
 	PerMillionPairs   time.Duration `json:"per_pairs"`     // added by each million pairs of a prompt token and an earlier one
 	Chunk             int           `json:"chunk"`         // largest number of prompt tokens processed in one step
 	Experts           Experts       `json:"experts"`
+	// KeepsPrompts states that an engine keeps the prompts of past requests as far as its memory is not needed. Others hold a
+	// prefix only while a request with it is in flight.
+	KeepsPrompts bool `json:"keeps_prompts,omitempty"`
 }
 
 // Experts describes the expert-parallel part of an engine's work.
