measure: the length of shared prefixes from which weighing kept prompts pays

kept_prompt_break_even_tokens and in_flight_prompt_break_even_tokens run the balancer on simulated engines that process 75 prompt tokens in a millisecond, once with engines that keep prompts and once with engines that hold them for requests in flight.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -28,7 +28,7 @@
 
 // Figures lists all figures in the order in which they are printed.
 func Figures() []Figure {
-	return slices.Concat(expertFigures(), localFigures(), configFigures(), entryFigures(), rolloutFigures(), prefixFigures(), processFigures())
+	return slices.Concat(expertFigures(), localFigures(), configFigures(), entryFigures(), rolloutFigures(), prefixFigures(), promptFigures(), processFigures())
 }
 
 // Select returns the figures with the given names, or all figures if no names are given.
--- a/internal/measure/prompt_test.go
+++ b/internal/measure/prompt_test.go
@@ -46,7 +46,7 @@
 func (c *promptTrialCase) run(policy promptPolicy, seed uint64) (time.Duration, float64) {
 	t := newPromptTrial(keptEngines, c.spec)
 	if c.balancer {
-		newBalancerPlacer(t, policy, seed).exchange(time.Duration(float64(c.load.requests) / c.load.perSecond * float64(time.Second)))
+		newBalancerPlacer(t, policy, seed).exchange(c.load.duration())
 	} else {
 		newRouterPlacer(t, policy, c.load.decode, seed)
 	}
--- a/internal/measure/prompt_trial.go
+++ b/internal/measure/prompt_trial.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/enginemodel"
@@ -33,7 +32,7 @@
 }
 
 // promptBlock is the number of prompt tokens in a block of the simulated caches. A token is one byte of simulated text.
-const promptBlock = 100
+const promptBlock = 20
 
 // promptRequest is one simulated request.
 type promptRequest struct {
@@ -117,6 +116,11 @@
 	return sum / time.Duration(len(t.finished))
 }
 
+// duration returns the time in which about all requests arrive.
+func (l *promptLoad) duration() time.Duration {
+	return time.Duration(float64(l.requests) / l.perSecond * float64(time.Second))
+}
+
 // popularity returns a function that draws the prefix of a request.
 func (l *promptLoad) popularity(rng *rand.Rand) func() int {
 	if l.zipf == 0 {
@@ -128,11 +132,11 @@
 
 // randomText returns a text of n bytes.
 func randomText(rng *rand.Rand, n int) string {
-	var b strings.Builder
-	for b.Len() < n {
-		fmt.Fprintf(&b, "%016x", rng.Uint64())
+	text := make([]byte, n)
+	for i := range text {
+		text[i] = byte(rng.Uint32())
 	}
-	return b.String()[:n]
+	return string(text)
 }
 
 // hitShare returns the share of the prompt tokens that engines had in their caches.
