--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,6 +15,8 @@
 
 	"github.com/camphorbank/camphorbank/internal/coldstart"
 	"github.com/camphorbank/camphorbank/internal/contention"
+	"github.com/camphorbank/camphorbank/internal/placement"
+	"github.com/camphorbank/camphorbank/internal/promptcache"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -66,6 +68,7 @@
 	Objective   time.Duration                  // latency objective, counted from the first attempt of the caller
 	Account     string                         // client account; empty if there is none
 	Exclude     map[targetset.Incarnation]bool // targets that have already failed this request
+	Prompt      promptcache.Prompt             // of a request to a model engine; zero if it is not known
 	Targets     func() []*targetset.Target     // lists the targets of the service
 	// Limit is a name of what limits Targets to a part of the service's, such as regions; empty if nothing does. Jobs of one
 	// service with the same Limit have the same targets.
@@ -103,6 +106,7 @@
 	priority   int
 	started    time.Time
 	answered   bool // an event has arrived
+	promptLease
 }
 
 // Result is how a request ended at its target.
@@ -133,6 +137,8 @@
 	// Decided receives each decision about a request of a service whose requests differ in priority. The same holds for it
 	// as for Notify.
 	Decided func(priority int, d contention.Decision)
+	// Random returns the random parts of scores, in [0, 1). It must not be changed once the balancer is in use.
+	Random func() float64
 
 	mu             sync.Mutex
 	now            func() time.Time
@@ -143,6 +149,7 @@
 	groups         map[string]*group
 	groupByEngine  map[string]*group // by the address of a rank's engine
 	queues         map[string]*queue // by service
+	prompts        *promptcache.Tracker[*targetState]
 	// progress is stored by the name of the group and not in group, because each report replaces the group.
 	progress map[string]*progress
 	reserves map[string]*contention.ImbalanceReserve // by the name of the group
@@ -155,6 +162,7 @@
 	health         health
 	lastEventGap   time.Duration // latest gap between two events of a stream
 	lastEventGapAt time.Time     // when it was observed
+	unprocessed    time.Duration // expected time for processing the prompts of requests without an event
 }
 
 // eventGapMaxAge is the time for which the gap between two events counts as the present speed of a target.
@@ -171,7 +179,7 @@
 	return &Balancer{Local: dataCentre, now: now, states: map[targetset.Incarnation]*targetState{},
 		peerInFlight: map[string]map[string]int{}, peerReportedAt: map[string]time.Time{}, peerTotal: map[string]int{}, groups: map[string]*group{},
 		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{},
-		reserves: map[string]*contention.ImbalanceReserve{}}
+		reserves: map[string]*contention.ImbalanceReserve{}, prompts: promptcache.New[*targetState](), Random: rand.Float64}
 }
 
 const (
@@ -198,6 +206,7 @@
 	targets := job.Targets()
 	counts, groups := b.loads(targets, now)
 	cold, atColdLimit := b.Cold.Rates(job.Service, targets, now), false
+	plan := b.planPrompt(job)
 	var best *targetset.Target
 	bestScore := math.Inf(1)
 	free := 0.0
@@ -226,7 +235,7 @@
 		if job.Prioritized {
 			free += b.capacity(t, job, g) - float64(counts[i])
 		}
-		score, ok := b.score(t, job, counts[i], g, groups[g], now)
+		score, ok := b.score(t, job, counts[i], g, groups[g], plan, now)
 		if !ok || score >= bestScore {
 			continue
 		}
@@ -253,21 +262,21 @@
 		p.requestSent(now, maxEventGap(job))
 	}
 	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil, cold: cold.Take(best, now),
-		contention: b.queueOf(job.Name).contention, priority: job.Priority, started: now}, ""
+		contention: b.queueOf(job.Name).contention, priority: job.Priority, started: now, promptLease: b.promptSent(job, plan, best, s)}, ""
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
-// it is the predicted time of a step in seconds, for other targets the number of requests in flight plus a latency
+// it is the predicted time to the first token in seconds, for other targets the number of requests in flight plus a latency
 // penalty. It returns false if the target has no free place. An engine has one if a slot is free and, unless the caller
 // is returning to a service without priorities, the predicted steps stay within the longest event gap of the job.
-func (b *Balancer) score(t *targetset.Target, job *Job, n int, g *group, l *groupLoad, now time.Time) (float64, bool) {
+func (b *Balancer) score(t *targetset.Target, job *Job, n int, g *group, l *groupLoad, plan *promptPlan, now time.Time) (float64, bool) {
 	latencyPenalty := b.extraLatency(t)
 	e := job.engine()
 	if e == nil {
 		if n >= t.Slots+int(queuedPerSlot*float64(t.Slots)) {
 			return 0, false
 		}
-		return float64(n) + latencyPenalty.Seconds()*1000*scoreJitter + rand.Float64()*scoreJitter, true
+		return float64(n) + latencyPenalty.Seconds()*1000*scoreJitter + b.Random()*scoreJitter, true
 	}
 	if g == nil && b.stateOf(t).slow(job, now) {
 		return 0, false
@@ -278,8 +287,9 @@
 	if n >= t.Slots || !job.exceedsGap() && stepTime(e, n+1, mean, reserved, pace) > maxEventGap(job) {
 		return 0, false
 	}
-	step := stepTime(e, n+1, mean, current, pace)
-	return (step + latencyPenalty).Seconds() * (1 + rand.Float64()*scoreJitter), true
+	step := placement.Estimate{Step: stepTime(e, n+1, mean, current, pace), Network: latencyPenalty}
+	score := step.FirstToken().Seconds() * (1 + b.Random()*scoreJitter)
+	return score + b.estimatePrompt(plan, t, pace).FirstToken().Seconds(), true
 }
 
 // extraLatency returns the latency expected from the location of a target and from the lack of an idle connection to
@@ -351,6 +361,7 @@
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	l.s.ownInFlight--
+	l.promptDone(r)
 	if l.progress != nil {
 		l.progress.running--
 	}
@@ -401,6 +412,7 @@
 	for i, s := range b.states {
 		if t := listed[i.ID]; s.ownInFlight == 0 && !s.quiet(b.now()) && (t == nil || t.Incarnation() != i) {
 			delete(b.states, i)
+			b.prompts.Forget(s)
 		}
 	}
 	b.dropOldReports(b.now())
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
-		w.placed <- placement{refusal: b.refuse(q, w.job, ReasonDisplaced, 0)}
+		w.placed <- waitResult{refusal: b.refuse(q, w.job, ReasonDisplaced, 0)}
 	}
 }
 
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -36,7 +36,7 @@
 // waiter is a request in a queue.
 type waiter struct {
 	job    *Job
-	placed chan placement // receives the decision
+	placed chan waitResult // receives the decision
 	until  time.Time      // the latest time of the decision
 	// blockedBy is the reason why no target takes the request at present, such as a closed group; others are served
 	// before it. It is empty for a request that waits for a place.
@@ -44,8 +44,8 @@
 	atColdLimit bool // it waits for a place, and the last attempt to get one has ended with ReasonCold
 }
 
-// placement is the decision about a waiting request: a lease or a refusal.
-type placement struct {
+// waitResult is the decision about a waiting request: a lease or a refusal.
+type waitResult struct {
 	lease   *Lease
 	refusal *Refusal
 }
@@ -128,7 +128,7 @@
 		b.mu.Unlock()
 		return nil, refusal
 	}
-	w := &waiter{job: job, placed: make(chan placement, 1), until: b.now().Add(job.MaxWait)}
+	w := &waiter{job: job, placed: make(chan waitResult, 1), until: b.now().Add(job.MaxWait)}
 	w.block(reason)
 	q.insert(w)
 	b.displace(q, job)
@@ -273,13 +273,13 @@
 		if lease != nil {
 			clear(blocked)
 			b.decided(q, w.job, contention.Waited)
-			w.placed <- placement{lease: lease}
+			w.placed <- waitResult{lease: lease}
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			continue
 		}
 		w.block(reason)
 		if reason == ReasonEvacuated { // which lasts longer than a request may wait
-			w.placed <- placement{refusal: b.refuse(q, w.job, reason, 0)}
+			w.placed <- waitResult{refusal: b.refuse(q, w.job, reason, 0)}
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 			continue
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,7 @@
 	ColdEvents        = expvar.NewMap("cold_events_total")        // cold targets and targets at their limit for cold ones, by kind
 	Contention        = expvar.NewMap("contention_total")         // decisions of services with priorities, by decision and priority
 	QuarantineEvents  = expvar.NewMap("quarantine_events_total")  // crashes of engines and quarantines of parts of prompts, by kind
+	KeptPrompts       = expvar.NewMap("kept_prompts_total")       // attempts at targets believed to hold a part of the prompt, its tokens, and attempts elsewhere because of the wait, by kind
 	Gauges            = expvar.NewMap("gauge")                    // current values, by gauge name
 	ExpertLoads       = expvar.NewInt("experts_loaded_total")     // by all ranks of the coordinated groups
 	FirstByte         = newHistogram("first_byte_seconds")        // from arrival until the response headers are sent
