--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -37,7 +37,7 @@
 type waiter struct {
 	job    *Job
 	placed chan waitResult // receives the decision
-	until  time.Time      // the latest time of the decision
+	until  time.Time       // the latest time of the decision
 	// blockedBy is the reason why no target takes the request at present, such as a closed group; others are served
 	// before it. It is empty for a request that waits for a place.
 	blockedBy   Reason
