--- a/internal/balance/progress.go
+++ b/internal/balance/progress.go
@@ -79,15 +79,14 @@
 func (l *Lease) EventReceived(gap time.Duration) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
-	l.promptProcessed()
 	now := l.b.now()
 	if l.progress != nil {
 		l.b.groupAnswered(l.progress, now)
 	}
 	if l.contention != nil && !l.answered {
-		l.answered = true
 		l.contention.FirstEvent(now.Sub(l.started), now)
 	}
+	l.promptProcessed()
 	if gap > 0 {
 		l.s.lastEventGap, l.s.lastEventGapAt = gap, now
 	}
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -83,7 +83,6 @@
 
 	use         *promptcache.Use[*targetState] // nil if nothing is recorded
 	unprocessed time.Duration                  // expected time for processing the prompt, until the first event
-	answered    bool                           // the first event has been received
 }
 
 // promptSent records that the prompt of a job was sent to a target. The caller holds the lock.
