balance: count evacuated ranks in the work of their groups

The ranks of an evacuated data centre get no requests but still do their share of the experts' work in each step. The balancer divided the group's requests by the ranks left, so that it took steps for longer than they are, and refused requests that the group could have served in time.

Job.SetAside lists these ranks, which now count in the load of their groups.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -54,6 +54,9 @@
 	Priority  int                            // 0 is the most urgent
 	Exclude   map[targetset.Incarnation]bool // targets that have already failed this request
 	Targets   func() []*targetset.Target     // lists the targets of the service
+	// SetAside lists the targets of the service that get no requests although they run. It may be nil. If they are engines, they
+	// take part in the steps of their groups.
+	SetAside func() []*targetset.Target
 	// Limit is a name of what limits Targets to a part of the service's, such as regions; empty if nothing does. Jobs of one
 	// service with the same Limit have the same targets.
 	Limit string
@@ -167,6 +170,9 @@
 	now := b.now()
 	targets := job.Targets()
 	counts, groups := b.loads(targets, now)
+	if job.SetAside != nil {
+		b.addGroupLoads(groups, job.SetAside(), now)
+	}
 	var best *targetset.Target
 	bestScore := math.Inf(1)
 	reason := ReasonNoTargets
--- a/internal/balance/evacuation_test.go
+++ b/internal/balance/evacuation_test.go
@@ -67,3 +67,23 @@
 	}
 	return out
 }
+
+// TestEvacuatedRanksShareWork guards against a group that refuses requests which it could serve in time, because the ranks of an
+// evacuated data centre are left out of its work although they still execute the experts' share of each step.
+// Load pattern: an evacuation at a peak.
+func TestEvacuatedRanksShareWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := engines(12)
+		admitted := func(usable, setAside []*targetset.Target) int {
+			b := New("near", time.Now)
+			b.UpdateGroup(groupReport("g", 1, list, 1.1))
+			job := modelJob(usable)
+			job.SetAside = func() []*targetset.Target { return setAside }
+			return len(acquireAll(b, job))
+		}
+		all, left, shared := admitted(list, nil), admitted(list[:8], nil), admitted(list[:8], list[8:])
+		if shared <= left || shared > all {
+			t.Errorf("%d requests admitted, want more than the %d without the evacuated ranks, and at most the %d of the whole group", shared, left, all)
+		}
+	})
+}
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -156,6 +156,17 @@
 	return counts, groups
 }
 
+// addGroupLoads adds targets that get no requests to the loads of their groups: each rank does a share of the experts' work.
+func (b *Balancer) addGroupLoads(groups map[*group]*groupLoad, targets []*targetset.Target, now time.Time) {
+	for _, t := range targets {
+		g := b.groupOf(t, now)
+		if l := groups[g]; g != nil && l != nil {
+			l.requests += b.inFlight(t)
+			l.ranks++
+		}
+	}
+}
+
 // stepTime predicts the duration of one step, which generates e.Stride tokens for each request and ends with an event.
 // The engine has n requests and the given pace. The ranks of its group have mean requests on average, and the most
 // loaded rank needs imbalance times the mean time for the work of the experts, which all ranks wait for.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,6 +109,7 @@
 		MaxWait:   x.maxWait(),
 		Exclude:   x.failedTargets,
 		Targets:   func() []*targetset.Target { return x.allowed(x.g.Targets.Snapshot().ByService[x.service]) },
+		SetAside:  func() []*targetset.Target { return x.g.Targets.Snapshot().SetAside[x.service] },
 		NoTargets: x.noTargets,
 		Limit:     x.regionLimit(),
 
