--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,6 +112,7 @@
 		Exclude:   x.failedTargets,
 		Prompt:    promptcache.Prompt{Tokens: x.call.PromptTokens, Prefixes: x.call.PromptPrefixes},
 		Targets:   func() []*targetset.Target { return x.allowed(x.g.Targets.Snapshot().ByService[x.service]) },
+		SetAside:  func() []*targetset.Target { return x.g.Targets.Snapshot().SetAside[x.service] },
 		NoTargets: x.noTargets,
 		Limit:     x.regionLimit(),
 
