coldstart: a request whose connection opened late is counted once

Cause: a request that is sent 50 ms after its place was taken was counted at both times, so that at a limit of one request a second it was always held back.

Change: the first count is removed, since nothing was sent at that time. If there is no room at the later time, the target keeps neither.

Result: the new part of TestLateSendsAreCountedAgain holds all requests of a full second within the limit.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -243,6 +243,9 @@
 		k.sent = true
 		return true
 	}
+	if !k.sent {
+		k.target.uncount(k.counted, now)
+	}
 	if !k.target.withinWindow(k.rates.any, now) {
 		return false
 	}
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -318,6 +318,19 @@
 	if last := tickets[len(tickets)-1]; last.MaySend(f.now) {
 		t.Error("a request was sent once more above the limit")
 	}
+	f.now = f.now.Add(windowLength)
+	f.learn(Fleet{1, 1, 0})
+	rates := f.limiters[0].Rates(testService, f.targets, f.now)
+	tickets = nil
+	for range limit {
+		tickets = append(tickets, rates.Take(f.targets[0], f.now))
+	}
+	f.now = f.now.Add(sendDelay)
+	for i, k := range tickets {
+		if !k.MaySend(f.now) {
+			t.Errorf("request %d of %d within the limit was held back, since its connection opened late", i+1, limit)
+		}
+	}
 }
 
 // TestUnlimitedServices guards against work and memory for services that state no rate for cold targets, and for
--- a/internal/coldstart/target.go
+++ b/internal/coldstart/target.go
@@ -91,9 +91,23 @@
 	t.lastCounted = now
 }
 
+// uncount removes a request that was counted at a time and has not been sent.
+func (t *target) uncount(counted, now time.Time) {
+	t.advance(now)
+	if bucket := t.bucket(counted); t.newest-bucket < buckets {
+		t.counts[bucket%buckets]--
+	}
+	if t.lastCounted.Equal(counted) {
+		t.lastCounted = time.Time{}
+	}
+}
+
+// bucket returns the number of the bucket of a time. Times are monotonic, as the time of day may jump.
+func (t *target) bucket(at time.Time) int64 { return int64(at.Sub(t.created) / bucketLength) }
+
 // advance clears the buckets that have left the window.
 func (t *target) advance(now time.Time) {
-	bucket := int64(now.Sub(t.created) / bucketLength) // monotonic, as the time of day may jump
+	bucket := t.bucket(now)
 	if bucket-t.newest >= buckets {
 		t.counts, t.newest = [buckets]int32{}, bucket
 	}
