check: published configurations, alone and against another one

Cause: an operator learns only from its effects that a published configuration hides a route, revokes a key or contradicts itself.

Change: camphorbank check decodes the platform's JSON document and reports errors and warnings together, with file, line and key. With -against it says what differs from another file, with -in-force from the configuration in force at an entry, which shows it with hashed keys. Findings gained a warning flag, which does not change the exit status.

Result: unit tests for each rule and difference, testscripts for text, JSON and exit statuses.

Not covered: limits against the number of targets, which the configuration does not state, and homes, which are not decoded yet.

--- a/cmd/camphorbank/script_test.go
+++ b/cmd/camphorbank/script_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +12,9 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/camphorbank/camphorbank/internal/configcheck"
+	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
 func TestMain(m *testing.M) {
@@ -27,6 +31,9 @@
 			wrongEntry := httptest.NewServer(http.HandlerFunc(answerWrongly))
 			env.Defer(wrongEntry.Close)
 			env.Setenv("WRONG_ENTRY", wrongEntry.URL)
+			platformEntry := httptest.NewServer(http.HandlerFunc(showConfiguration))
+			env.Defer(platformEntry.Close)
+			env.Setenv("PLATFORM_ENTRY", platformEntry.Listener.Addr().String())
 			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
@@ -41,6 +48,15 @@
 	_, _ = io.WriteString(w, `{"request_id":"r","text":"cut","tokens":1,"text_hash":"0","target":"t","outcome":"completed"}`)
 }
 
+// showConfiguration answers like an entry of the platform that is asked for the configuration in force.
+func showConfiguration(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/fleet/configuration" {
+		http.NotFound(w, r)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(configcheck.HashKeys(routetable.Config{Version: 7, Accounts: []routetable.Account{{Name: "a", Keys: []string{"secret-1"}}}}))
+}
+
 // exits implements the script command "exits STATUS PROGRAM ARGUMENTS...", which runs a program and checks its exit
 // status.
 func exits(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -14,9 +14,10 @@
 	Line    int    `json:"line"` // counted from 1; 0 if the line is not known
 	Key     string `json:"key"`
 	Message string `json:"message"`
+	Warning bool   `json:"warning,omitempty"` // the document can be used as it is
 }
 
-// String formats the finding as FILE:LINE: KEY: MESSAGE.
+// String formats the finding as FILE:LINE: KEY: MESSAGE, with "warning: " before the key of a warning.
 func (f Finding) String() string {
 	var b strings.Builder
 	b.WriteString(f.File)
@@ -24,6 +25,9 @@
 		fmt.Fprintf(&b, ":%d", f.Line)
 	}
 	b.WriteString(": ")
+	if f.Warning {
+		b.WriteString("warning: ")
+	}
 	if f.Key != "" {
 		b.WriteString(f.Key + ": ")
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -136,7 +136,9 @@
 	go e.fleet.Run(background)
 	go e.upkeep(background)
 	go e.adapters.Reload.run(background, e.settings, e.reload)
-	serveMetrics(background, e.settings.Listen.Metrics, e.serveExplain)
+	serveMetrics(background, e.settings.Listen.Metrics, map[string]http.HandlerFunc{
+		"GET /fleet/explain/{id}": e.serveExplain, "GET /fleet/configuration": e.serveConfiguration,
+	})
 	<-failed.Done()
 	if ctx.Err() != nil {
 		e.stop(background, callerServer, callerListener)
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -50,10 +50,9 @@
 	}
 }
 
-// serveMetrics serves the metrics, and on entries the decision records of recent requests, at addr until ctx ends. It
-// serves nothing if addr is empty. A failure to listen is only logged, so that the process still accepts requests.
-// explain is nil in processes that accept no requests.
-func serveMetrics(ctx context.Context, addr string, explain http.HandlerFunc) {
+// serveMetrics serves the metrics, and the answers to operators' questions by pattern, at addr until ctx ends. It serves
+// nothing if addr is empty. A failure to listen is only logged, so that the process still accepts requests.
+func serveMetrics(ctx context.Context, addr string, questions map[string]http.HandlerFunc) {
 	if addr == "" {
 		return
 	}
@@ -65,8 +64,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler())
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	if explain != nil {
-		mux.HandleFunc("GET /fleet/explain/{id}", explain)
+	for pattern, answer := range questions {
+		mux.HandleFunc(pattern, answer)
 	}
 	server := newServer(mux)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
