contention: order by the account's priority, then by the route's

The account's priority decides first now, and the route's among those of equal priority. A class is not held back while it has less than 0.15 of the places that its arrivals would give it. Gauges show the free and the kept places.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -55,6 +55,7 @@
 	Priority  int                 // 0 is the most urgent
 	// Prioritized is set if requests of the service may differ in priority, so that package contention orders them.
 	Prioritized bool
+	Class       int                            // orders the requests of such a service; 0 is the most urgent
 	Objective   time.Duration                  // latency objective, counted from the first attempt of the caller
 	Account     string                         // client account; empty if there is none
 	Exclude     map[targetset.Incarnation]bool // targets that have already failed this request
@@ -84,7 +85,7 @@
 	engine   bool      // the target is an engine
 
 	contention *contention.Service // nil if the service's requests have the same priority
-	priority   int
+	class      int
 	started    time.Time
 	answered   bool // an event has arrived
 }
@@ -113,7 +114,7 @@
 	Connected func(addr string) bool
 	// Decided receives each decision about a request of a service whose requests differ in priority. The same holds for it
 	// as for Notify.
-	Decided func(priority int, d contention.Decision)
+	Decided func(class int, d contention.Decision)
 
 	mu             sync.Mutex
 	now            func() time.Time
@@ -222,7 +223,7 @@
 		p.requestSent(now, maxEventGap(job))
 	}
 	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil,
-		contention: b.queueOf(job.Name).contention, priority: job.Priority, started: now}, ""
+		contention: b.queueOf(job.Name).contention, class: job.Class, started: now}, ""
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
@@ -332,7 +333,7 @@
 	q := l.b.queueOf(l.service)
 	q.placeFreed(now)
 	if l.contention != nil {
-		l.contention.Done(l.priority)
+		l.contention.Done(l.class)
 	}
 	if r == Served {
 		q.lastServed = now
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -10,7 +10,7 @@
 
 // request returns what package contention needs to know about a job.
 func (j *Job) request() contention.Request {
-	return contention.Request{Priority: j.Priority, Account: j.Account, Returning: j.Returning}
+	return contention.Request{Priority: j.Class, Account: j.Account, Returning: j.Returning}
 }
 
 // rank determines the rank of a job that arrives, and for a service with priorities the longest time that it may wait.
@@ -42,7 +42,7 @@
 		return
 	}
 	if b.Decided != nil {
-		b.Decided(job.Priority, d)
+		b.Decided(job.Class, d)
 	}
 	if q.contention.Decided(job.request(), d, b.now()) {
 		b.notify(Event{Kind: EventContended, Service: job.Name})
@@ -165,6 +165,25 @@
 	}
 }
 
+// Places are the places of a service with priorities as this process sees them.
+type Places struct {
+	Service string
+	Free    int // below 0 if the requests in flight exceed what the engines can serve with the longest event gap
+	Kept    int // of those, places that requests of the least urgent class have to leave
+}
+
+// Places returns the places of the services with priorities.
+func (b *Balancer) Places() (out []Places) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, q := range b.queues {
+		if q.contention != nil {
+			out = append(out, Places{name, int(q.free), int(q.contention.KeptFromLeast(b.now()))})
+		}
+	}
+	return out
+}
+
 // Demand returns the demand at this process for the services with priorities, by service.
 func (b *Balancer) Demand() map[string][]contention.ClassDemand {
 	b.mu.Lock()
--- a/internal/balance/contention_test.go
+++ b/internal/balance/contention_test.go
@@ -182,7 +182,7 @@
 		list := engines(1)
 		job := func(priority int) *Job {
 			j := modelJob(list)
-			j.Prioritized, j.Priority, j.Objective = true, priority, time.Second
+			j.Prioritized, j.Class, j.Objective = true, priority, time.Second
 			return j
 		}
 		leases := acquireAll(b, job(0))
--- a/internal/contention/demand.go
+++ b/internal/contention/demand.go
@@ -11,9 +11,9 @@
 	reportMaxAge = 2 * time.Second
 	// keepHorizon is the time until places come free again, for which places are kept back.
 	keepHorizon = 100 * time.Millisecond
-	// guaranteedShare is the share of all requests in flight up to which no places are kept back from a priority, so that
-	// the least urgent requests are not left out altogether.
-	guaranteedShare = 0.04
+	// guaranteedShare is the share of the places that a priority would have by its arrivals up to which no places are kept
+	// back from it, so that the least urgent requests are not left out altogether.
+	guaranteedShare = 0.15
 )
 
 // ClassDemand is the demand of the requests of one priority.
@@ -94,23 +94,34 @@
 // Kept returns the number of free places of the service that requests of the rank must leave to those that go before
 // them.
 func (s *Service) Kept(r Rank, now time.Time) float64 {
-	urgentPerSecond := 0.0
+	urgentPerSecond, perSecond, allPerSecond := 0.0, 0.0, 0.0
 	inFlight, all := 0, 0
 	s.demand.total(now, func(c ClassDemand) {
 		if c.Priority < r.Priority || c.Priority == r.Priority && r.Tier > TierInTime {
 			urgentPerSecond += c.ArrivalsPerSecond
 		}
 		if c.Priority == r.Priority {
+			perSecond += c.ArrivalsPerSecond
 			inFlight += c.InFlight
 		}
+		allPerSecond += c.ArrivalsPerSecond
 		all += c.InFlight
 	})
-	if r.Tier == TierInTime && float64(inFlight) < guaranteedShare*float64(all) {
+	if r.Tier == TierInTime && float64(inFlight)*allPerSecond <= guaranteedShare*perSecond*float64(all) {
 		return 0
 	}
 	return urgentPerSecond * keepHorizon.Seconds()
 }
 
+// KeptFromLeast returns the number of places that requests of the least urgent priority must leave free.
+func (s *Service) KeptFromLeast(now time.Time) float64 {
+	least := 0
+	for p := range s.demand.own {
+		least = max(least, p)
+	}
+	return s.Kept(Rank{least, TierInTime}, now)
+}
+
 // AheadPerSecond returns the arrivals per second at this process of requests that go before those of the rank.
 func (s *Service) AheadPerSecond(r Rank, now time.Time) float64 {
 	sum := 0.0
@@ -122,11 +133,16 @@
 	return sum
 }
 
-// leastUrgent returns the lowest priority that was seen, as its number.
-func (d *demand) leastUrgent() int {
-	out := 0
+// place returns the share of the other priorities that are more urgent than the one given.
+func (d *demand) place(priority int) float64 {
+	more, others := 0, 0
 	for p := range d.own {
-		out = max(out, p)
+		if p < priority {
+			more++
+		}
+		if p != priority {
+			others++
+		}
 	}
-	return out
+	return float64(more) / float64(max(1, others))
 }
--- a/internal/contention/retryafter.go
+++ b/internal/contention/retryafter.go
@@ -16,9 +16,7 @@
 // RetryAfter returns the time after which a refused caller should return. latest is the longest time that the caller
 // honours, and random is a random number from 0 to 1.
 func (s *Service) RetryAfter(r Request, latest time.Duration, random float64, now time.Time) time.Duration {
-	least := max(1, s.demand.leastUrgent())
-	place := min(1, float64(r.Priority)/float64(least))
-	earliest := earliestReturn + (earliestReturnLast-earliestReturn)*place
+	earliest := earliestReturn + (earliestReturnLast-earliestReturn)*s.demand.place(r.Priority)
 	spread := (1 - earliest) * min(1, minReturnSpread+(1-minReturnSpread)*s.overload(now)/severeOverload)
 	return time.Duration(float64(latest) * (earliest + spread*random))
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,7 @@
 func (x *exchange) job() *balance.Job {
 	return &balance.Job{
 		Name: x.service, Service: x.table.Service(x.service), EventGap: x.route.EventGap, Priority: x.priority(),
-		Prioritized: x.table.Prioritized(x.service), Objective: x.route.Objective, Account: x.accountName(),
+		Prioritized: x.table.Prioritized(x.service), Class: x.route.Class(x.account), Objective: x.route.Objective, Account: x.accountName(),
 		Remaining: time.Until(x.deadline), Returning: x.returning(),
 		MaxWait: x.maxWait(),
 		Exclude: x.failedTargets,
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -44,8 +44,8 @@
 }
 
 // countDecision updates the metrics with a decision about a request of a service with priorities.
-func countDecision(priority int, d contention.Decision) {
-	metrics.Contention.Add(string(d)+"/"+strconv.Itoa(priority), 1)
+func countDecision(class int, d contention.Decision) {
+	metrics.Contention.Add(fmt.Sprintf("%s/%02d", d, class), 1)
 }
 
 // countGroup updates the metrics with an event of the coordinated engine group.
@@ -124,6 +124,10 @@
 	metrics.SetGauge("request_body_bytes", e.bodies.Held())
 	metrics.SetGauge("quarantined_parts", int64(e.quarantine.Quarantined()))
 	metrics.SetGauge("target_connections_opened", e.pool.Dials())
+	for _, p := range e.balance.Places() {
+		metrics.SetGauge("free_places/"+p.Service, int64(p.Free))
+		metrics.SetGauge("kept_places/"+p.Service, int64(p.Kept))
+	}
 }
 
 // gaugeInterval is the time between two updates of the gauges; the platform reads them every 5 s.
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -1,7 +1,6 @@
 package routetable
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -43,31 +42,48 @@
 
 // prioritizedServices returns the services of a revision whose requests may differ in priority.
 func prioritizedServices(c Config) map[string]bool {
-	ofAccounts := map[int]bool{}
-	for _, a := range c.Accounts {
+	accounts := map[int]*Account{} // one of each priority
+	for i, a := range c.Accounts {
 		if a.Priority != nil {
-			ofAccounts[*a.Priority] = true
+			accounts[*a.Priority] = &c.Accounts[i]
 		}
 	}
-	byService := map[string]map[int]bool{}
-	for _, r := range c.Routes {
+	classes := map[string]map[int]bool{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
 		for _, b := range r.Backends {
-			if byService[b.Service] == nil {
-				byService[b.Service] = map[int]bool{}
+			if classes[b.Service] == nil {
+				classes[b.Service] = map[int]bool{}
 			}
-			byService[b.Service][r.Priority] = true
-			if !r.Public {
-				maps.Copy(byService[b.Service], ofAccounts)
+			classes[b.Service][r.Class(nil)] = true
+			for _, a := range accounts {
+				if !r.Public {
+					classes[b.Service][r.Class(a)] = true
+				}
 			}
 		}
 	}
 	out := map[string]bool{}
-	for service, priorities := range byService {
-		out[service] = len(priorities) > 1
+	for service, c := range classes {
+		out[service] = len(c) > 1
 	}
 	return out
 }
 
+// classesPerPriority is the number of priorities that a route or an account can have.
+const classesPerPriority = 10
+
+// Class returns the urgency of an account's requests on the route, of which 0 is the most urgent. The priority of the
+// account decides, and among those of equal priority that of the route. account may be nil.
+func (r *Route) Class(account *Account) int {
+	first := r.Priority
+	if account != nil && account.Priority != nil {
+		first = *account.Priority
+	}
+	level := func(priority int) int { return min(max(0, priority), classesPerPriority-1) }
+	return level(first)*classesPerPriority + level(r.Priority)
+}
+
 // Prioritized reports whether the requests of a service may differ in priority, by their routes or client accounts.
 func (t *Table) Prioritized(service string) bool { return t.prioritized[service] }
 
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -24,3 +24,19 @@
 	check([]Account{{Name: "a"}}, map[string]bool{"mixed": true, "plain": false, "public": false, "unknown": false})
 	check([]Account{{Name: "a"}, {Name: "b", Priority: &urgent}}, map[string]bool{"mixed": true, "plain": true, "public": false})
 }
+
+// TestClass guards against a route's priority that counts more than that of the client account, or not at all.
+func TestClass(t *testing.T) {
+	high, low := 0, 1
+	first, second := &Route{Priority: 0}, &Route{Priority: 2}
+	order := []int{first.Class(&Account{Priority: &high}), second.Class(&Account{Priority: &high}),
+		first.Class(&Account{Priority: &low}), second.Class(&Account{Priority: &low}), second.Class(nil)}
+	for i := range order[1:] {
+		if order[i] >= order[i+1] {
+			t.Errorf("classes %v are not in the order of urgency", order)
+		}
+	}
+	if a, b := first.Class(nil), first.Class(&Account{}); a != b || a != 0 {
+		t.Errorf("classes %d and %d without a priority of the account", a, b)
+	}
+}
