contention: wait up to what the objective leaves, and count free places of full services

A request may wait for its objective less the recent time to the first event, not only 0.45 of it. The number of free places was not updated while no target had one, so that predictions of the wait used an old one.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -209,10 +209,11 @@
 			best, bestScore = t, score
 		}
 	}
+	kept := b.keepsBack(job, free, now)
 	if best == nil {
 		return nil, reason
 	}
-	if b.keepsBack(job, free, now) {
+	if kept {
 		return nil, ReasonKept
 	}
 	s := b.stateOf(best)
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -31,8 +31,8 @@
 	now := b.now()
 	q.contention.Arrived(job.request(), now)
 	job.rank = q.contention.Rank(job.request(), now)
-	if budget, known := q.contention.WaitBudget(job.Objective, now); known && !job.Returning {
-		job.MaxWait = min(job.MaxWait, budget)
+	if !job.Returning {
+		job.MaxWait = min(job.MaxWait, q.contention.WaitBudget(job.Objective, now))
 	}
 }
 
@@ -66,13 +66,14 @@
 // event gap.
 func (j *Job) exceedsGap() bool { return j.Returning && !j.Prioritized }
 
-// keepsBack reports whether a job has to leave the free places of its service to more urgent requests. The caller holds
-// the lock.
+// keepsBack reports whether a job has to leave the free places of its service to more urgent requests, and records how
+// many are free. The caller holds the lock.
 func (b *Balancer) keepsBack(job *Job, free float64, now time.Time) bool {
 	q := b.queueOf(job.Name)
 	if q.contention == nil {
 		return false
 	}
+	q.free = free
 	kept := q.contention.Kept(job.rank, now)
 	return kept > 0 && free < 1+kept
 }
--- a/internal/balance/contention_test.go
+++ b/internal/balance/contention_test.go
@@ -235,3 +235,21 @@
 		}
 	})
 }
+
+// TestReturningCallersKeepTheGap guards against returning callers that make all streams of a group late, and against a
+// changed decision for services without priorities.
+func TestReturningCallersKeepTheGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, prioritized := range []bool{false, true} {
+			b, list := New("near", time.Now), engines(8)
+			b.UpdateGroup(groupReport("g", 1, list, 1.1))
+			job := modelJob(list)
+			job.Prioritized = prioritized
+			acquireAll(b, job)
+			job.Returning, job.MaxWait = true, 0
+			if n := len(acquireAll(b, job)); (n > 0) == prioritized {
+				t.Errorf("priorities %v: %d returning callers beyond the event gap", prioritized, n)
+			}
+		}
+	})
+}
--- a/internal/contention/contention.go
+++ b/internal/contention/contention.go
@@ -50,7 +50,7 @@
 	Admitted  Decision = "admitted"  // got a place at once
 	Waited    Decision = "waited"    // got a place after a wait
 	Displaced Decision = "displaced" // refused while it waited, because more urgent requests arrived
-	Full      Decision = "full"      // refused because no place would come free in time, or came free in the time predicted
+	Full      Decision = "full"      // refused because no place came free in time, or would
 	KeptBack  Decision = "kept-back" // refused because the free places are kept for more urgent requests
 	Closed    Decision = "closed"    // refused because no target takes requests
 )
--- a/internal/contention/delay.go
+++ b/internal/contention/delay.go
@@ -13,6 +13,8 @@
 	// minBudgetShare is the share of the objective for which a request may wait even if the delay leaves less.
 	// Admission holds the load at a level that leaves more, so that a longer delay is temporary.
 	minBudgetShare = 0.1
+	// unknownBudgetShare is the wait as a share of the objective while the delay is unknown.
+	unknownBudgetShare = 0.45
 )
 
 // delay is a moving average of a delay and of its deviation.
@@ -35,12 +37,12 @@
 // FirstEvent records the time from the start of an attempt to the first event of the answer.
 func (s *Service) FirstEvent(took time.Duration, now time.Time) { s.first.add(took, now) }
 
-// WaitBudget returns the longest time for which a request may wait so that it can meet its objective. known is false if
-// the delay of answers is not known.
-func (s *Service) WaitBudget(objective time.Duration, now time.Time) (budget time.Duration, known bool) {
+// WaitBudget returns the longest time for which a request may wait so that it can meet its objective.
+func (s *Service) WaitBudget(objective time.Duration, now time.Time) time.Duration {
+	share := func(f float64) time.Duration { return time.Duration(f * float64(objective)) }
 	if s.first.updated.IsZero() || now.Sub(s.first.updated) > delayMaxAge {
-		return 0, false
+		return share(unknownBudgetShare)
 	}
 	answer := time.Duration((s.first.mean + cautiousDeviations*s.first.deviation) * float64(time.Second))
-	return max(time.Duration(minBudgetShare*float64(objective)), objective-answer), true
+	return max(share(minBudgetShare), objective-answer)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,7 +98,11 @@
 	if x.returning() {
 		return min(returningWait, time.Duration(returningWaitShare*float64(time.Until(x.deadline))), x.startWait())
 	}
-	return min(time.Duration(waitShare*float64(x.route.Objective)), x.startWait())
+	share := waitShare
+	if x.table.Prioritized(x.service) {
+		share = 1 // the balancer knows how long answers take
+	}
+	return min(time.Duration(share*float64(x.route.Objective)), x.startWait())
 }
 
 // job returns the description of the request for the balancer.
