--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -65,6 +65,7 @@
 	Priority  int                 // 0 is the most urgent
 	// Prioritized is set if requests of the service may differ in priority, so that package contention orders them.
 	Prioritized bool
+	Class       int                            // orders the requests of such a service; 0 is the most urgent
 	Objective   time.Duration                  // latency objective, counted from the first attempt of the caller
 	Account     string                         // client account; empty if there is none
 	Exclude     map[targetset.Incarnation]bool // targets that have already failed this request
@@ -106,7 +107,7 @@
 	held     bool // MaySend has refused the request
 
 	contention *contention.Service // nil if the service's requests have the same priority
-	priority   int
+	class      int
 	started    time.Time
 	answered   bool // an event has arrived
 	promptLease
@@ -139,7 +140,7 @@
 	Cold *coldstart.Limiter
 	// Decided receives each decision about a request of a service whose requests differ in priority. The same holds for it
 	// as for Notify.
-	Decided func(priority int, d contention.Decision)
+	Decided func(class int, d contention.Decision)
 	// Random returns the random parts of scores, in [0, 1). It must not be changed once the balancer is in use.
 	Random func() float64
 
@@ -251,13 +252,14 @@
 		}
 		best, bestScore = t, score
 	}
+	kept := b.keepsBack(job, free, now)
 	if best == nil {
 		if atColdLimit {
 			reason = ReasonCold
 		}
 		return nil, reason
 	}
-	if b.keepsBack(job, free, now) {
+	if kept {
 		return nil, ReasonKept
 	}
 	s := b.stateOf(best)
@@ -268,7 +270,7 @@
 		p.requestSent(now, maxEventGap(job))
 	}
 	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil, cold: cold.Take(best, now),
-		contention: b.queueOf(job.Name).contention, priority: job.Priority, started: now, promptLease: b.promptSent(job, plan, best, s)}, ""
+		contention: b.queueOf(job.Name).contention, class: job.Class, started: now, promptLease: b.promptSent(job, plan, best, s)}, ""
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
@@ -380,7 +382,7 @@
 	q := l.b.queueOf(l.service)
 	q.placeFreed(now)
 	if l.contention != nil {
-		l.contention.Done(l.priority)
+		l.contention.Done(l.class)
 	}
 	if r == Served {
 		q.lastServed = now
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -10,7 +10,7 @@
 
 // request returns what package contention needs to know about a job.
 func (j *Job) request() contention.Request {
-	return contention.Request{Priority: j.Priority, Account: j.Account, Returning: j.Returning}
+	return contention.Request{Priority: j.Class, Account: j.Account, Returning: j.Returning}
 }
 
 // rank determines the rank of a job that arrives, and for a service with priorities the longest time that it may wait.
@@ -31,8 +31,8 @@
 	now := b.now()
 	q.contention.Arrived(job.request(), now)
 	job.rank = q.contention.Rank(job.request(), now)
-	if budget, known := q.contention.WaitBudget(job.Objective, now); known && !job.Returning {
-		job.MaxWait = min(job.MaxWait, budget)
+	if !job.Returning {
+		job.MaxWait = min(job.MaxWait, q.contention.WaitBudget(job.Objective, now))
 	}
 }
 
@@ -42,7 +42,7 @@
 		return
 	}
 	if b.Decided != nil {
-		b.Decided(job.Priority, d)
+		b.Decided(job.Class, d)
 	}
 	if q.contention.Decided(job.request(), d, b.now()) {
 		b.notify(Event{Kind: EventContended, Service: job.Name})
@@ -66,13 +66,14 @@
 // event gap.
 func (j *Job) exceedsGap() bool { return j.Returning && !j.Prioritized }
 
-// keepsBack reports whether a job has to leave the free places of its service to more urgent requests. The caller holds
-// the lock.
+// keepsBack reports whether a job has to leave the free places of its service to more urgent requests, and records how
+// many are free. The caller holds the lock.
 func (b *Balancer) keepsBack(job *Job, free float64, now time.Time) bool {
 	q := b.queueOf(job.Name)
 	if q.contention == nil {
 		return false
 	}
+	q.free = free
 	kept := q.contention.Kept(job.rank, now)
 	return kept > 0 && free < 1+kept
 }
@@ -165,6 +166,25 @@
 	}
 }
 
+// Places are the places of a service with priorities as this process sees them.
+type Places struct {
+	Service string
+	Free    int // below 0 if the requests in flight exceed what the engines can serve with the longest event gap
+	Kept    int // of those, places that requests of the least urgent class have to leave
+}
+
+// Places returns the places of the services with priorities.
+func (b *Balancer) Places() (out []Places) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, q := range b.queues {
+		if q.contention != nil {
+			out = append(out, Places{name, int(q.free), int(q.contention.KeptFromLeast(b.now()))})
+		}
+	}
+	return out
+}
+
 // Demand returns the demand at this process for the services with priorities, by service.
 func (b *Balancer) Demand() map[string][]contention.ClassDemand {
 	b.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,14 +99,18 @@
 	if x.returning() {
 		return min(returningWait, time.Duration(returningWaitShare*float64(time.Until(x.deadline))), x.startWait())
 	}
-	return min(time.Duration(waitShare*float64(x.route.Objective)), x.startWait())
+	share := waitShare
+	if x.table.Prioritized(x.service) {
+		share = 1 // the balancer knows how long answers take
+	}
+	return min(time.Duration(share*float64(x.route.Objective)), x.startWait())
 }
 
 // job returns the description of the request for the balancer.
 func (x *exchange) job() *balance.Job {
 	return &balance.Job{
 		Name: x.service, Service: x.table.Service(x.service), EventGap: x.route.EventGap, Priority: x.priority(),
-		Prioritized: x.table.Prioritized(x.service), Objective: x.route.Objective, Account: x.accountName(),
+		Prioritized: x.table.Prioritized(x.service), Class: x.route.Class(x.account), Objective: x.route.Objective, Account: x.accountName(),
 		Remaining: time.Until(x.deadline), Returning: x.returning(),
 		MaxWait:   x.maxWait(),
 		Exclude:   x.failedTargets,
