--- a/internal/decision/record.go
+++ b/internal/decision/record.go
@@ -11,7 +11,7 @@
 // Candidate is a target that was considered for an attempt.
 type Candidate struct {
 	Target string        `json:"target"`
-	Score  time.Duration `json:"score_ns"`        // predicted wait
+	Score  time.Duration `json:"score_ns"`        // predicted time to the first token if the target holds nothing of the prompt
 	Probe  bool          `json:"probe,omitempty"` // the target's circuit is open, so that an attempt at it is a probe
 }
 
--- a/internal/measure/prompt_placers.go
+++ b/internal/measure/prompt_placers.go
@@ -97,7 +97,7 @@
 		wait = service * time.Duration(len(e.queue)+1) / time.Duration(e.spec.slots)
 	}
 	p.choices[r].Report(&wire.Load{Slots: e.spec.slots, Running: e.running, Queued: len(e.queue), WaitLong: wait, WaitShort: wait,
-		TokensPerS: p.slotRate() * float64(e.spec.slots), CacheTokens: e.spec.memory})
+		TokensPerS: p.slotRate() * float64(e.spec.slots) / e.slowdown, CacheTokens: e.spec.memory})
 }
 
 // balancerPlacer places requests with the balancer of the users' platform, at several entries that tell each other their
@@ -139,9 +139,13 @@
 	return p
 }
 
-// exchange reports the requests in flight of each entry to the others, until the time end.
+// exchange reports the requests in flight of each entry to the others, and the paces of the engines to all, until the time
+// end.
 func (p *balancerPlacer) exchange(end time.Duration) {
+	seq := int64(0)
 	p.trial.sim.every(peerReportInterval, end, func() {
+		seq++
+		p.reportPaces(seq)
 		for i, from := range p.balancers {
 			counts := from.InFlight()
 			for j, to := range p.balancers {
@@ -153,6 +157,17 @@
 	})
 }
 
+// reportPaces reports all engines as one group.
+func (p *balancerPlacer) reportPaces(seq int64) {
+	group := balance.GroupReport{Name: "g", Seq: seq, TakesRequests: true, Imbalance: 1}
+	for i, t := range p.targets {
+		group.Ranks = append(group.Ranks, balance.RankReport{Engine: t.Addr, Pace: p.trial.engines[i].slowdown})
+	}
+	for _, b := range p.balancers {
+		b.UpdateGroup(group)
+	}
+}
+
 func (p *balancerPlacer) place(r *promptRequest) {
 	p.waiting = append(p.waiting, r)
 	p.placeWaiting()
--- a/internal/measure/prompt_test.go
+++ b/internal/measure/prompt_test.go
@@ -15,8 +15,12 @@
 	balancer bool
 	spec     promptEngineSpec
 	load     promptLoad
+	slow     int // engines that are slower than the others by slowdown
 }
 
+// slowdown is the factor by which slow engines are slower.
+const slowdown = 3
+
 // promptTrialCases lists the combinations that weighing must serve well.
 func promptTrialCases() (out []promptTrialCase) {
 	router := promptEngineSpec{slots: 8, prefillRate: 20000, stepTime: 10 * time.Millisecond, memory: 120000}
@@ -25,18 +29,20 @@
 	brief.inFlight = true
 	for _, zipf := range []float64{0, 1.1} {
 		for _, high := range []bool{false, true} {
-			load := promptLoad{requests: 5000, prefixes: 400, zipf: zipf, shared: 2000, own: 400, decode: 200 * time.Millisecond, perSecond: 80}
+			load := promptLoad{requests: 4000, prefixes: 400, zipf: zipf, shared: 2000, own: 400, decode: 200 * time.Millisecond, perSecond: 80}
 			if high {
 				load.perSecond = 330
 			}
 			name := fmt.Sprintf("zipf=%v/high=%v", zipf, high)
-			out = append(out, promptTrialCase{"router/" + name, false, router, load})
+			out = append(out, promptTrialCase{"router/" + name, false, router, load, 0},
+				promptTrialCase{"router with slow engines/" + name, false, router, load, keptEngines / 4})
 			load.decode, load.perSecond = 400*time.Millisecond, 55
 			if high {
 				load.perSecond = 270
 			}
-			out = append(out, promptTrialCase{"balancer/" + name, true, balanced, load},
-				promptTrialCase{"in flight/" + name, true, brief, load})
+			out = append(out, promptTrialCase{"balancer/" + name, true, balanced, load, 0},
+				promptTrialCase{"balancer with slow engines/" + name, true, balanced, load, keptEngines / 4},
+				promptTrialCase{"in flight/" + name, true, brief, load, 0})
 		}
 	}
 	return out
@@ -45,6 +51,9 @@
 // run returns the mean time to the first token and the share of cached tokens under a policy.
 func (c *promptTrialCase) run(policy promptPolicy, seed uint64) (time.Duration, float64) {
 	t := newPromptTrial(keptEngines, c.spec)
+	for _, e := range t.engines[:c.slow] {
+		e.slowdown = slowdown
+	}
 	if c.balancer {
 		newBalancerPlacer(t, policy, seed).exchange(c.load.duration())
 	} else {
--- a/internal/routing/columns.go
+++ b/internal/routing/columns.go
@@ -6,20 +6,24 @@
 const never = time.Duration(1) << 61
 
 // columns hold what a decision reads of all targets, in one slice for each value so that a scan is short. The score of
-// target i at a time is max(0, ready[lane][i]-time) + delay[i]. Times are offsets from the router's start.
+// target i at a time is max(0, ready[lane][i]-time) + delay[i] + prefill[i]*tokens of the prompt. Times are offsets from the
+// router's start.
 type columns struct {
-	ready  [laneCount][]time.Duration // end of the reported wait
-	delay  []time.Duration            // rest of the score; never if the target is not eligible
-	hashes []uint64                   // of the names, for rendezvous hashing
-	scores []time.Duration            // of the latest decision
+	ready   [laneCount][]time.Duration // end of the reported wait
+	delay   []time.Duration            // rest of the score; never if the target is not eligible
+	prefill []time.Duration            // time for processing one prompt token
+	hashes  []uint64                   // of the names, for rendezvous hashing
+	scores  []time.Duration            // of the latest decision
 
-	eligible   int
-	open       int           // targets with an open circuit
-	nextChange time.Duration // earliest time at which the columns of a target change without an event
+	eligible int
+	open     int // targets with an open circuit
+	// typicalPrefill is the latest known value of prefill. It is assumed for targets that have not reported their speed.
+	typicalPrefill time.Duration
+	nextChange     time.Duration // earliest time at which the columns of a target change without an event
 }
 
 func newColumns(n int) columns {
-	c := columns{delay: make([]time.Duration, n), hashes: make([]uint64, n), scores: make([]time.Duration, n), nextChange: never}
+	c := columns{delay: make([]time.Duration, n), prefill: make([]time.Duration, n), hashes: make([]uint64, n), scores: make([]time.Duration, n), nextChange: never}
 	for lane := range c.ready {
 		c.ready[lane] = make([]time.Duration, n)
 	}
@@ -29,13 +33,13 @@
 	return c
 }
 
-// score computes the scores of all targets and returns the lowest one.
-func (c *columns) score(lane int, now time.Duration) time.Duration {
-	scores := c.scores
-	ready, delay := c.ready[lane][:len(scores)], c.delay[:len(scores)]
+// score computes the scores of all targets for a prompt of which they hold nothing, and returns the lowest one.
+func (c *columns) score(lane int, tokens int, now time.Duration) time.Duration {
+	scores, n := c.scores, time.Duration(tokens)
+	ready, delay, prefill := c.ready[lane][:len(scores)], c.delay[:len(scores)], c.prefill[:len(scores)]
 	best := never
 	for i := range scores {
-		s := max(ready[i]-now, 0) + delay[i]
+		s := max(ready[i]-now, 0) + delay[i] + prefill[i]*n
 		scores[i] = s
 		best = min(best, s)
 	}
@@ -76,6 +80,11 @@
 			p.ready[lane][i] = t.reportAt + t.wait[lane]
 		}
 	}
+	p.prefill[i] = t.speed().PerToken
+	if p.prefill[i] == 0 {
+		p.prefill[i] = p.typicalPrefill
+	}
+	p.typicalPrefill = p.prefill[i]
 	e := t.estimate(laneShort, now)
 	p.delay[i] = e.FirstToken() - max(0, p.ready[laneShort][i]-now)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -39,7 +39,7 @@
 // Choice is the target chosen for a dispatch. Done must be called exactly once.
 type Choice struct {
 	VM         wire.VM
-	Wait       time.Duration        // predicted wait
+	Wait       time.Duration        // predicted wait until the target processes the prompt
 	Probe      bool                 // tests a target whose circuit is open
 	Considered []decision.Candidate // the choice and the best others
 	Eligible   int                  // targets that passed the filter
@@ -140,7 +140,7 @@
 // dispatch counts a dispatch to a target.
 func (r *Router) dispatch(p *pool, q *Query, i int, now time.Duration) *Choice {
 	t := &p.targets[i]
-	c := &Choice{VM: p.list[i], Wait: p.scores[i], Probe: t.breaker.open(), router: r, pool: p}
+	c := &Choice{VM: p.list[i], Wait: t.estimate(q.lane(), now).FirstToken(), Probe: t.breaker.open(), router: r, pool: p}
 	if c.use = r.recordPrompt(p, q, i); c.use != nil {
 		c.KeptTokens = c.use.Kept
 	}
--- a/internal/routing/scan.go
+++ b/internal/routing/scan.go
@@ -35,7 +35,7 @@
 			defer p.refresh(i, now)
 		}
 	}
-	s.bestScore, s.eligible = p.score(q.lane(), now), p.eligible
+	s.bestScore, s.eligible = p.score(q.lane(), q.Prompt.Tokens, now), p.eligible
 	s.probe = p.probe(q, now)
 	return s
 }
