coldstart, configcheck: one home for limits, clearer names

A ticket that was refused once no longer removes its count twice if it is asked again. configcheck takes the limits of an entry from gateway and upstream, where they were stated a second time.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -104,8 +104,8 @@
 type Rates struct {
 	limiter   *Limiter
 	service   *service
-	any       float64 // requests in any second to any target
-	cold      float64 // requests per second to a cold target at the end of its cold time
+	perSecond float64 // requests in any second to any target
+	coldRate  float64 // requests per second to a cold target at the end of its cold time
 	coldStart time.Duration
 }
 
@@ -130,8 +130,8 @@
 		return out
 	}
 	entries := float64(l.fleet.entries(now))
-	out.any = boundShare * bound / entries
-	out.cold = min(out.any, s.ColdRate/entries)
+	out.perSecond = boundShare * bound / entries
+	out.coldRate = min(out.perSecond, s.ColdRate/entries)
 	return out
 }
 
@@ -227,7 +227,7 @@
 	rates   Rates
 	id      string
 	target  *target
-	counted time.Time // when the request was last counted
+	counted time.Time // when the request was last counted; zero if it is not counted
 	sent    bool
 }
 
@@ -243,10 +243,11 @@
 		k.sent = true
 		return true
 	}
-	if !k.sent {
+	if !k.sent && !k.counted.IsZero() {
 		k.target.uncount(k.counted, now)
+		k.counted = time.Time{}
 	}
-	if !k.target.withinWindow(k.rates.any, now) {
+	if !k.target.withinWindow(k.rates.perSecond, now) {
 		return false
 	}
 	k.target.count(now)
--- a/internal/coldstart/target.go
+++ b/internal/coldstart/target.go
@@ -16,10 +16,9 @@
 	windowLength = buckets * bucketLength
 	// turnLength is the length of a turn; see inTurn.
 	turnLength = time.Second
-	// turnsShare is the time between the starts of two turns, in units of the time for one request at the limit. With 3.2
-	// and boundShare, the processes that have a turn in some second send half of the bound at most on average, and the
-	// whole bound only if several times the standard deviation more have one.
-	turnsShare = 3.2
+	// turnInterval is the time between the starts of two turns, in units of the time for one request at the limit. With it and
+	// boundShare, the processes that have a turn in some second send half of the bound at most on average.
+	turnInterval = 3.2
 )
 
 // target is the state of one target. The limiter's lock guards it.
@@ -39,7 +38,7 @@
 
 // within reports whether one more request is within the limits.
 func (t *target) within(r Rates, now time.Time) bool {
-	return t.withinWindow(r.any, now) && (!t.cold(now) || t.spaced(t.ramp(r, now), now))
+	return t.withinWindow(r.perSecond, now) && (!t.cold(now) || t.spaced(t.ramp(r, now), now))
 }
 
 // withinWindow reports whether one more request is within a limit for any second. A limit below one is kept by one request
@@ -63,8 +62,8 @@
 	if limit <= 0 {
 		return false
 	}
-	turns := now.Sub(t.created).Seconds()*limit/turnsShare + t.phase
-	return turns-math.Floor(turns) < turnLength.Seconds()*limit/turnsShare
+	turns := now.Sub(t.created).Seconds()*limit/turnInterval + t.phase
+	return turns-math.Floor(turns) < turnLength.Seconds()*limit/turnInterval
 }
 
 // spaced reports whether enough time has passed since the last request for a rate in requests per second.
@@ -78,10 +77,10 @@
 // ramp returns the rate at which a cold target gets requests.
 func (t *target) ramp(r Rates, now time.Time) float64 {
 	if r.coldStart <= 0 {
-		return r.cold
+		return r.coldRate
 	}
 	left := min(1, float64(t.coldUntil.Sub(now))/float64(r.coldStart))
-	return r.cold * (1 - (1-rampStart)*left)
+	return r.coldRate * (1 - (1-rampStart)*left)
 }
 
 // count counts a request.
--- a/internal/configcheck/others.go
+++ b/internal/configcheck/others.go
@@ -2,13 +2,8 @@
 
 import (
 	"time"
-)
 
-// Limits of an entry process itself. Larger ones in a configuration have no effect.
-const (
-	maxHeaderBytes   = 64 << 10
-	maxHeaderTimeout = 5 * time.Second
-	maxIdleTimeout   = time.Minute
+	"github.com/camphorbank/camphorbank/internal/gateway"
 )
 
 const (
@@ -82,25 +77,25 @@
 func (k *checker) checkLimits() {
 	l := k.config.Limits
 	for _, c := range []struct {
-		field        Field
-		value        int64
-		least, most  int64 // 0 for no bound
-		unit         int64
-		nameOfLimits string
+		field       Field
+		value       int64
+		least, most int64 // 0 for no bound
+		unit        int64
+		unitName    string
 	}{
-		{HeaderBytes, int64(l.HeaderBytes), minHeaderBytes, maxHeaderBytes, 1, "bytes"},
+		{HeaderBytes, int64(l.HeaderBytes), minHeaderBytes, gateway.MaxHeaderBytes, 1, "bytes"},
 		{BodyBytes, l.BodyBytes, 0, 0, 1, "bytes"},
-		{HeaderTimeout, int64(l.HeaderTimeout), int64(minHeaderTimeout), int64(maxHeaderTimeout), int64(time.Millisecond), "ms"},
-		{IdleTimeout, int64(l.IdleTimeout), int64(minHeaderTimeout), int64(maxIdleTimeout), int64(time.Millisecond), "ms"},
+		{HeaderTimeout, int64(l.HeaderTimeout), int64(minHeaderTimeout), int64(gateway.HeaderTimeout), int64(time.Millisecond), "ms"},
+		{IdleTimeout, int64(l.IdleTimeout), int64(minHeaderTimeout), int64(gateway.IdleTimeout), int64(time.Millisecond), "ms"},
 	} {
 		at := Place{Section: Limits, Field: c.field}
 		switch {
 		case c.value < 0:
 			k.add(Error, at, "must not be negative")
 		case c.value > 0 && c.value < c.least:
-			k.add(Warning, at, "%d is below the %d %s that requests need", c.value/c.unit, c.least/c.unit, c.nameOfLimits)
+			k.add(Warning, at, "%d is below the %d %s that requests need", c.value/c.unit, c.least/c.unit, c.unitName)
 		case c.most > 0 && c.value > c.most:
-			k.add(Warning, at, "has no effect above the %d %s that entries allow", c.most/c.unit, c.nameOfLimits)
+			k.add(Warning, at, "has no effect above the %d %s that entries allow", c.most/c.unit, c.unitName)
 		}
 	}
 }
--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -6,13 +6,11 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-const (
-	// minTimeout is the shortest time limit of a route within which entries can place a request: opening a connection to
-	// a target takes up to 400 ms, and a request may wait for a place before that.
-	minTimeout = 500 * time.Millisecond
-)
+// minTimeout is the shortest time limit of a route within which a target can answer if the connection to it opens late.
+const minTimeout = upstream.DialTimeout + 100*time.Millisecond
 
 // routeKey is what decides which requests a route gets.
 type routeKey struct{ host, prefix string }
