--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -81,8 +81,8 @@
 	b        *Balancer
 	s        *targetState
 	service  string
-	progress *progress // progress of the target's group; nil if the group is unknown
-	engine   bool      // the target is an engine
+	progress *progress          // progress of the target's group; nil if the group is unknown
+	engine   *routetable.Engine // nil if the target is no engine
 
 	contention *contention.Service // nil if the service's requests have the same priority
 	class      int
@@ -127,7 +127,6 @@
 	queues         map[string]*queue // by service
 	// progress is stored by the name of the group and not in group, because each report replaces the group.
 	progress map[string]*progress
-	reserves map[string]*contention.ImbalanceReserve // by the name of the group
 }
 
 // targetState is the load and the health of one incarnation of a target.
@@ -152,8 +151,7 @@
 func New(dataCentre string, now func() time.Time) *Balancer {
 	return &Balancer{Local: dataCentre, now: now, states: map[targetset.Incarnation]*targetState{},
 		peerInFlight: map[string]map[string]int{}, peerReportedAt: map[string]time.Time{}, peerTotal: map[string]int{}, groups: map[string]*group{},
-		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{},
-		reserves: map[string]*contention.ImbalanceReserve{}}
+		groupByEngine: map[string]*group{}, queues: map[string]*queue{}, progress: map[string]*progress{}}
 }
 
 const (
@@ -209,6 +207,9 @@
 			best, bestScore = t, score
 		}
 	}
+	if job.Prioritized {
+		b.recordLoads(groups)
+	}
 	kept := b.keepsBack(job, free, now)
 	if best == nil {
 		return nil, reason
@@ -223,7 +224,7 @@
 	if p != nil {
 		p.requestSent(now, maxEventGap(job))
 	}
-	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine() != nil,
+	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine(),
 		contention: b.queueOf(job.Name).contention, class: job.Class, started: now}, ""
 }
 
@@ -327,7 +328,7 @@
 	}
 	now := l.b.now()
 	l.b.dropOldReports(now)
-	if r == Refused && l.engine && l.b.inFlight(l.Target) < l.Target.Slots/2 {
+	if r == Refused && l.engine != nil && l.b.inFlight(l.Target) < l.Target.Slots/2 {
 		r = groupClosed
 	}
 	l.b.recordResult(l.Target.ID, &l.s.health, r, now)
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -135,23 +135,31 @@
 	if g == nil || !job.Prioritized {
 		return current, reserved
 	}
-	if r := b.reserves[g.report.Name]; r != nil && g.report.Imbalance > 0 {
-		reserved = max(current, r.Value())
+	if p := b.progress[g.report.Name]; p != nil && g.report.Imbalance > 0 {
+		reserved = max(current, p.reserve.Value())
 	}
 	return current, reserved
 }
 
-// recordImbalance updates the imbalance that admission allows for in a group. The caller holds the lock.
-func (b *Balancer) recordImbalance(r GroupReport) {
-	if r.Imbalance <= 0 {
-		return
+// recordLoads records the requests in flight in each group. The caller holds the lock.
+func (b *Balancer) recordLoads(groups map[*group]*groupLoad) {
+	for g, l := range groups {
+		if g == nil {
+			continue
+		}
+		if p := b.progress[g.report.Name]; p != nil {
+			p.mean = float64(l.requests) / float64(l.ranks)
+		}
 	}
-	reserve := b.reserves[r.Name]
-	if reserve == nil {
-		reserve = &contention.ImbalanceReserve{}
-		b.reserves[r.Name] = reserve
+}
+
+// recordImbalance updates the imbalance that admission allows for in the target's group from the time between two events.
+// The events show how long steps take after a shift of popularity, which the group's coordinator can only estimate. The
+// caller holds the lock.
+func (l *Lease) recordImbalance(gap time.Duration, now time.Time) {
+	if l.contention != nil && l.engine != nil && l.progress != nil {
+		l.progress.reserve.Report(imbalanceOf(l.engine, gap, l.progress.mean), now)
 	}
-	reserve.Report(r.Imbalance, b.now())
 }
 
 // sweepContention notifies of the end of contention. The caller holds the lock.
--- a/internal/balance/contention_sim_test.go
+++ b/internal/balance/contention_sim_test.go
@@ -326,6 +326,7 @@
 		x.lease.EventReceived(0)
 	} else {
 		x.longest = max(x.longest, now.Sub(x.last))
+		x.lease.EventReceived(now.Sub(x.last))
 	}
 	x.last = now
 	x.events--
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -88,7 +88,6 @@
 		b.notify(Event{Kind: kind, Group: r.Name})
 	}
 	b.groups[r.Name] = next
-	b.recordImbalance(r)
 	for _, rank := range next.report.Ranks {
 		if rank.Engine != "" {
 			b.groupByEngine[rank.Engine] = next
@@ -112,7 +111,6 @@
 		}
 		delete(b.groups, name)
 		delete(b.progress, name)
-		delete(b.reserves, name)
 		maps.DeleteFunc(b.groupByEngine, func(_ string, other *group) bool { return other.report.Name == name })
 	}
 }
@@ -193,6 +191,16 @@
 	return max(1, g.paces[addr])
 }
 
+// imbalanceOf returns the imbalance with which stepTime predicts the duration of one step while each rank has mean requests.
+func imbalanceOf(e *routetable.Engine, step time.Duration, mean float64) float64 {
+	share := e.Experts.Share
+	work := float64(max(1, e.Stride)) * (float64(e.StepTime) + float64(e.PerRequest)*mean)
+	if share <= 0 || work <= 0 {
+		return 1
+	}
+	return (float64(step)*(1-prefillShare)/work - (1 - share)) / share
+}
+
 // requestsWithin returns the number of requests of each rank with which stepTime predicts the duration of one step.
 func requestsWithin(e *routetable.Engine, step time.Duration, imbalance, pace float64) float64 {
 	share := e.Experts.Share
--- a/internal/balance/progress.go
+++ b/internal/balance/progress.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/contention"
+)
 
 const (
 	// stallEventGaps is the time without an event after which a group counts as stalled, in multiples of the longest
@@ -18,6 +22,8 @@
 	lastEvent     time.Time // time of the last event, or of the first request since the group had none in flight
 	lastProbe     time.Time // time of the last request that was sent to the group while it was stalled
 	stallReported bool      // EventSilent was sent for the present stall
+	mean          float64   // requests of each rank when a place was last sought, for services with priorities
+	reserve       contention.ImbalanceReserve
 }
 
 // requestSent records that a request was sent to the group.
@@ -89,5 +95,6 @@
 	}
 	if gap > 0 {
 		l.s.lastEventGap, l.s.lastEventGapAt = gap, now
+		l.recordImbalance(gap, now)
 	}
 }
