coldstart: restarted entries send to limited targets from their start on

Change: entries use 0.6 of the bound in place of 0.8, and a restarted one uses the part that this leaves for 1.1 s. An entry that does not know the fleet assumes 16 entries in place of 32, so that its share is at least one request a second where the bound is 40 or more.

Result: the tests of the bound pass; without the smaller share after a restart, 20 entries send 60 requests in a second where 56 are allowed.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// boundShare is the part of the deployment's bound that the entries use together. The rest covers entries that do not
-	// know of each other yet.
-	boundShare = 0.8
+	// boundShare is the part of the deployment's bound that the entries use together. restartShare is the part that is left
+	// for entries that have restarted within the last second, and covers entries that do not know of each other yet.
+	boundShare   = 0.6
+	restartShare = 1 - boundShare
 	// rampStart is the part of its share of the tolerated rate at which a target begins its cold time.
 	rampStart = 0.5
 	// sendDelay is the time between taking a place and sending the request from which on the request is counted again.
@@ -126,11 +127,11 @@
 		return Rates{}
 	}
 	out := Rates{limiter: l, service: state, coldStart: s.ColdStart}
+	entries, share := float64(l.fleet.entries(now)), boundShare
 	if l.fleet.predecessorCounts(now) {
-		return out
+		share = restartShare
 	}
-	entries := float64(l.fleet.entries(now))
-	out.perSecond = boundShare * bound / entries
+	out.perSecond = share * bound / entries
 	out.coldRate = min(out.perSecond, s.ColdRate/entries)
 	return out
 }
--- a/internal/coldstart/fleet.go
+++ b/internal/coldstart/fleet.go
@@ -4,7 +4,7 @@
 
 const (
 	// assumedEntries is the smallest number of entries that a process assumes while it does not know the fleet.
-	assumedEntries = 32
+	assumedEntries = 16
 	// settleTime is the time from the first contact with another entry until a process knows the fleet, and is known in it.
 	settleTime = 2 * time.Second
 	// predecessorTime is the time after a start for which the requests that an earlier process sent in this one's place
--- a/internal/coldstart/target.go
+++ b/internal/coldstart/target.go
@@ -18,7 +18,7 @@
 	turnLength = time.Second
 	// turnInterval is the time between the starts of two turns, in units of the time for one request at the limit. With it and
 	// boundShare, the processes that have a turn in some second send half of the bound at most on average.
-	turnInterval = 3.2
+	turnInterval = 2.4
 )
 
 // target is the state of one target. The limiter's lock guards it.
