routetable: only routes of different priorities call for contention control

Client accounts of the earlier deployments state priorities too, and routes without a key of such accounts counted as another class, so that services whose callers were served in the order of arrival before would have come under contention control.

--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -13,7 +13,7 @@
 	hosts    map[string][]*Route // by lower-case host, longest prefix first
 	accounts map[string]*Account // by key
 	services map[string]*Service
-	// prioritized holds the services whose requests differ in priority.
+	// prioritized holds the services to which routes of different priorities lead.
 	prioritized map[string]bool
 }
 
@@ -40,32 +40,22 @@
 	return t
 }
 
-// prioritizedServices returns the services of a revision whose requests may differ in priority.
+// prioritizedServices returns the services to which routes of different priorities lead. Priorities of client accounts alone
+// do not make a service one of them: its requests are served in the order of these priorities without contention control.
 func prioritizedServices(c Config) map[string]bool {
-	accounts := map[int]*Account{} // one of each priority
-	for i, a := range c.Accounts {
-		if a.Priority != nil {
-			accounts[*a.Priority] = &c.Accounts[i]
-		}
-	}
-	classes := map[string]map[int]bool{}
+	priorities := map[string]map[int]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		for _, b := range r.Backends {
-			if classes[b.Service] == nil {
-				classes[b.Service] = map[int]bool{}
-			}
-			classes[b.Service][r.Class(nil)] = true
-			for _, a := range accounts {
-				if !r.Public {
-					classes[b.Service][r.Class(a)] = true
-				}
+			if priorities[b.Service] == nil {
+				priorities[b.Service] = map[int]bool{}
 			}
+			priorities[b.Service][r.Priority] = true
 		}
 	}
 	out := map[string]bool{}
-	for service, c := range classes {
-		out[service] = len(c) > 1
+	for service, p := range priorities {
+		out[service] = len(p) > 1
 	}
 	return out
 }
@@ -84,7 +74,7 @@
 	return level(first)*classesPerPriority + level(r.Priority)
 }
 
-// Prioritized reports whether the requests of a service may differ in priority, by their routes or client accounts.
+// Prioritized reports whether routes of different priorities lead to a service.
 func (t *Table) Prioritized(service string) bool { return t.prioritized[service] }
 
 // Match returns the route of the host whose prefix is the longest one that the path begins with.
