upstream: idle connections make room for new ones

The pool keeps up to 16 idle connections for each target, so that many targets could use up the descriptors. From a number of open connections on, the one that is idle for longest is closed for each new one. The default sets no number.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,11 +36,19 @@
 	idleLimit time.Duration // longest idle time after which the connection may be used again
 	idleSince time.Time     // time since which the connection is idle
 	carried   bool          // it has carried a request
+	onClose   func()        // called once
+	closed    sync.Once
 }
 
-func newConn(addr string, c net.Conn) *conn {
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closed.Do(c.onClose)
+	return c.Conn.Close()
+}
+
+func newConn(addr string, c net.Conn, onClose func()) *conn {
 	sent, received := &countingWriter{to: c}, &headReader{from: c}
-	return &conn{Conn: c, addr: addr, reader: bufio.NewReaderSize(received, readBufferBytes),
+	return &conn{Conn: c, addr: addr, onClose: onClose, reader: bufio.NewReaderSize(received, readBufferBytes),
 		writer: bufio.NewWriter(sent), sent: sent, received: received}
 }
 
@@ -127,9 +135,12 @@
 type Pool struct {
 	// Dial opens a connection to a target.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// MaxOpen is the number of open connections from which on an idle one is closed for each new one; 0 means no number.
+	MaxOpen int
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
+	open  int
 	dials int64
 }
 
@@ -174,14 +185,43 @@
 
 // dial opens a connection to a target.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	p.mu.Lock()
-	p.dials++
-	p.mu.Unlock()
+	if surplus := p.countDial(); surplus != nil {
+		_ = surplus.Close()
+	}
 	nc, err := p.Dial(ctx, "tcp", addr)
 	if err != nil {
+		p.countClose()
 		return nil, err
 	}
-	return newConn(addr, nc), nil
+	return newConn(addr, nc, p.countClose), nil
+}
+
+// countDial counts a connection that is about to be opened. It returns the idle connection that has to be closed for it, or
+// nil if there is none.
+func (p *Pool) countDial() (surplus *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dials++
+	p.open++
+	if p.MaxOpen <= 0 || p.open <= p.MaxOpen {
+		return nil
+	}
+	for _, list := range p.idle {
+		if surplus == nil || list[0].idleSince.Before(surplus.idleSince) {
+			surplus = list[0]
+		}
+	}
+	if surplus != nil {
+		p.setIdle(surplus.addr, p.idle[surplus.addr][1:])
+	}
+	return surplus
+}
+
+// countClose counts a connection that was closed.
+func (p *Pool) countClose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 }
 
 // popIdle removes and returns the connection that was used last, or returns nil if it has been idle for maxIdle or
