peer: bound the memory and the connections of all peers together

The server bounded each message (1 MB), but not all of them: 400 connections with messages that stop short of their end made a process of 20 MB grow to 306 MB (TestCrowdAtControl). The decoder of the library also kept the buffer of the largest message for the life of its connection. Messages now take memory from a budget while they are received and handled, connections take places of a limit, and the buffer of a message above 64 KB is dropped. Both bounds are optional.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/camphorbank/camphorbank/internal/connlimit"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 )
 
 const (
@@ -46,6 +49,9 @@
 
 // Server serves control methods to other processes. All methods must be registered with Handle before Serve is called.
 type Server struct {
+	Conns  *connlimit.Limit  // connections besides the bound of the server itself; nil for no other bound
+	Memory *membudget.Budget // for messages that are received or handled; nil for no bound
+
 	methods map[string]MethodHandler
 	mu      sync.Mutex
 	conns   map[*jsonrpc2.Conn]struct{}
@@ -81,8 +87,15 @@
 	if s.closed || len(s.conns) >= maxConns {
 		return false
 	}
-	handler := &concurrencyLimiter{next: jsonrpc2.HandlerWithError(s.dispatch), semaphore: make(chan struct{}, maxRequests)}
-	conn := jsonrpc2.NewConn(ctx, newStream(c, serverIdleTimeout), handler, jsonrpc2.SetLogger(discardLogger))
+	slot, ok := s.Conns.Admit(c)
+	if !ok {
+		return false
+	}
+	handler := &concurrencyLimiter{next: jsonrpc2.HandlerWithError(s.dispatch), semaphore: make(chan struct{}, maxRequests),
+		slot: slot, memory: s.Memory}
+	stream := newStream(c, serverIdleTimeout)
+	stream.limit(slot, s.Memory.Lease(""))
+	conn := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(discardLogger))
 	s.conns[conn] = struct{}{}
 	go func() {
 		<-conn.DisconnectNotify()
@@ -98,16 +111,37 @@
 type concurrencyLimiter struct {
 	next      jsonrpc2.Handler
 	semaphore chan struct{}
+	slot      *connlimit.Slot
+	memory    *membudget.Budget
 }
 
 func (h *concurrencyLimiter) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	h.semaphore <- struct{}{}
+	memory := h.memory.Lease("")
+	if !memory.Grow(handlingBytes(r)) || !h.slot.Run() {
+		memory.Release()
+		<-h.semaphore
+		_ = conn.Close()
+		return
+	}
 	go func() {
-		defer func() { <-h.semaphore }()
+		defer func() {
+			h.slot.Done()
+			memory.Release()
+			<-h.semaphore
+		}()
 		h.next.Handle(ctx, conn, r)
 	}()
 }
 
+// handlingBytes returns the memory that a request needs while it is handled: its parameters as text and decoded.
+func handlingBytes(r *jsonrpc2.Request) int64 {
+	if r.Params == nil {
+		return 0
+	}
+	return 2 * int64(len(*r.Params))
+}
+
 // Close closes all connections and makes the server refuse new ones.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -15,13 +15,16 @@
 
 type echoMessage struct{ Text string }
 
-func startServer(t *testing.T) (*Server, string) {
+func startServer(t *testing.T, configure ...func(*Server)) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := NewServer()
+	for _, f := range configure {
+		f(s)
+	}
 	s.Handle("echo", TypedHandler(func(_ context.Context, in echoMessage) (echoMessage, error) { return in, nil }))
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(context.Background(), l) }()
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -1,11 +1,16 @@
 package peer
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
+	"github.com/camphorbank/camphorbank/internal/connlimit"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 )
 
 const (
@@ -19,27 +24,60 @@
 	firstMessageTimeout = 10 * time.Second
 )
 
-var errTooLarge = errors.New("peer: message too large")
+// keptBufferBytes is the size of a message above which its buffer is not kept for the next one.
+const keptBufferBytes = 64 << 10
+
+// receivingFactor is the memory that a message needs while it is received, as a multiple of its size: the buffer of the decoder,
+// which doubles when it is full, and the message itself.
+const receivingFactor = 3
+
+var (
+	errTooLarge = errors.New("peer: message too large")
+	errNoMemory = errors.New("peer: no memory for the message")
+)
 
 // newStream returns an object stream that fails on a message above maxMessageBytes, since the library's plain stream
 // has no limit. Reading fails if no message arrives for the duration idle; 0 means no limit.
-func newStream(c net.Conn, idle time.Duration) jsonrpc2.ObjectStream {
+func newStream(c net.Conn, idle time.Duration) *boundedStream {
 	b := &boundedConn{Conn: c, messageBytesLeft: maxMessageBytes}
-	return &boundedStream{ObjectStream: jsonrpc2.NewPlainObjectStream(b), conn: b, idleTimeout: idle}
+	return &boundedStream{conn: b, decoder: json.NewDecoder(b), encoder: json.NewEncoder(b), idleTimeout: idle}
 }
 
 // boundedStream is an object stream that bounds the size of each message and the wait for it.
 type boundedStream struct {
-	jsonrpc2.ObjectStream
 	conn        *boundedConn
+	decoder     *json.Decoder
 	idleTimeout time.Duration
 	readStarted bool // ReadObject was called before
+
+	mu      sync.Mutex
+	encoder *json.Encoder
+}
+
+// WriteObject writes one message.
+func (s *boundedStream) WriteObject(v any) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.encoder.Encode(v)
+}
+
+// limit makes the stream take the memory for its messages from a lease, and show its use of the connection in a slot.
+func (s *boundedStream) limit(slot *connlimit.Slot, memory *membudget.Lease) {
+	s.conn.slot, s.conn.memory = slot, memory
+}
+
+// Close closes the connection.
+func (s *boundedStream) Close() error {
+	s.conn.slot.Free()
+	err := s.conn.Close()
+	s.conn.memory.Release()
+	return err
 }
 
 // ReadObject reads one message. Bytes that the decoder read ahead with the previous message are not counted, so a
 // message may exceed maxMessageBytes by the size of the decoder's buffer.
 func (s *boundedStream) ReadObject(v any) error {
-	s.conn.messageBytesLeft = maxMessageBytes
+	s.conn.beginMessage()
 	if s.idleTimeout > 0 {
 		timeout := s.idleTimeout
 		if !s.readStarted {
@@ -50,7 +88,18 @@
 		}
 	}
 	s.readStarted = true
-	return s.ObjectStream.ReadObject(v)
+	err := s.decoder.Decode(v)
+	if maxMessageBytes-s.conn.messageBytesLeft > keptBufferBytes {
+		s.dropBuffer()
+	}
+	s.conn.memory.Release()
+	return err
+}
+
+// dropBuffer replaces the decoder, which keeps a buffer of the size of the largest message.
+func (s *boundedStream) dropBuffer() {
+	ahead, _ := io.ReadAll(io.LimitReader(s.decoder.Buffered(), maxMessageBytes)) // reading from memory does not fail
+	s.decoder = json.NewDecoder(io.MultiReader(bytes.NewReader(ahead), s.conn))
 }
 
 // boundedConn is a connection with a limit on the bytes read for the current message and a timeout for each write. Only
@@ -58,6 +107,16 @@
 type boundedConn struct {
 	net.Conn
 	messageBytesLeft int
+	slot             *connlimit.Slot
+	memory           *membudget.Lease // of the message that is being received
+}
+
+// beginMessage makes the connection ready for the next message.
+func (c *boundedConn) beginMessage() {
+	if c.messageBytesLeft < maxMessageBytes {
+		c.slot.Idle()
+	}
+	c.messageBytesLeft = maxMessageBytes
 }
 
 func (c *boundedConn) Read(p []byte) (int, error) {
@@ -65,7 +124,19 @@
 		return 0, errTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.messageBytesLeft)])
+	if n <= 0 {
+		return n, err
+	}
+	if c.messageBytesLeft == maxMessageBytes {
+		c.memory.Receive(func() { _ = c.Conn.Close() })
+	}
 	c.messageBytesLeft -= n
+	c.slot.Received(n)
+	c.memory.Received(n)
+	if !c.memory.Grow(receivingFactor * int64(n)) {
+		c.slot.NoMemory()
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
