node, gateway: memory and connections of clients from the settings of the process

newResources divides limits.memory_mb and limits.max_fds (which is read now) over callers' requests, messages of other processes, callers, targets, control, readiness and metrics. Heads are charged field by field while they arrive, bodies before their buffer is allocated, and buffered answers too; an answer without memory is passed on as it arrives. A stalled request is refused with 503 body-stalled before a target gets it, so that the promise is true. Connections are closed in the order of connlimit. closed_for_room_total counts each reason, and one log line a second has the counts. HTTP/2 is off explicitly. The size of a head no longer counts a space after each colon, so that a legal head of short fields is not refused with 431.

Deployments without the settings have no new limit.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -21,9 +21,11 @@
 	// graceTime is the time in which a new connection, or a request that has begun to arrive, is closed after all others.
 	graceTime = 250 * time.Millisecond
 	// crowdedBufferBytes is the size of the receive buffer of connections that are opened while more than crowdedShare of the
-	// places are in use. Buffers that the system sizes grow to megabytes on a connection that is read in part.
+	// places are in use, or up to crowdedTime later. Buffers that the system sizes grow to megabytes on a connection that is
+	// read in part.
 	crowdedBufferBytes = 64 << 10
 	crowdedShare       = 0.25
+	crowdedTime        = 10 * time.Second
 )
 
 // Reason says why a connection was closed or refused.
@@ -43,10 +45,13 @@
 type Limit struct {
 	// Closed is called for each connection that is closed or refused. It must not block. It may be nil.
 	Closed func(Reason)
+	// SmallBuffers gives all connections the receive buffer of crowded times.
+	SmallBuffers bool
 
-	max   int
-	mu    sync.Mutex
-	slots map[*Slot]struct{}
+	max         int
+	mu          sync.Mutex
+	slots       map[*Slot]struct{}
+	crowdedTill time.Time
 }
 
 // New returns a limit of max connections, or none if max is 0.
@@ -89,8 +94,8 @@
 		return nil, false
 	}
 	tcpconn.OpenWindow(c)
-	if small, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && float64(l.Open()) > crowdedShare*float64(l.max) {
-		_ = small.SetReadBuffer(crowdedBufferBytes)
+	if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && l.isCrowded() {
+		_ = buffered.SetReadBuffer(crowdedBufferBytes)
 	}
 	return s, true
 }
@@ -110,6 +115,17 @@
 	return s, victim, reason
 }
 
+// isCrowded reports whether many connections are open, or were a short time ago.
+func (l *Limit) isCrowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if float64(len(l.slots)) > crowdedShare*float64(l.max) {
+		l.crowdedTill = now.Add(crowdedTime)
+	}
+	return l.SmallBuffers || now.Before(l.crowdedTill)
+}
+
 // Max returns the largest number of connections, or 0 for no limit.
 func (l *Limit) Max() int { return l.max }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,9 +23,9 @@
 // passOnWhole passes on an answer that is not an event stream. It buffers the answer if it is small enough, so that
 // another attempt is possible if it is incomplete.
 func (x *exchange) passOnWhole(resp *upstream.Response, a Answer) (result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, more, err := x.readStart(resp)
 	ending := bodyEnding(resp.Framing, err)
-	if len(body) < maxBufferedBytes {
+	if !more {
 		ending = x.checkCrash(ending)
 	}
 	if !ending.Complete() {
@@ -34,14 +34,14 @@
 	}
 	failure := isFailure(resp.Status)
 	if failure && !x.passOnFailure(resp.Status, a) {
-		resp.Finish(len(body) < maxBufferedBytes)
+		resp.Finish(!more)
 		return resultFailed, nil
 	}
 	r := resultServed
 	if failure {
 		r.name, r.leaseResult = resultFailed.name, resultFailed.leaseResult
 	}
-	if len(body) == maxBufferedBytes {
+	if more {
 		return x.passOnLarge(resp, body, r)
 	}
 	r.ending = ending
@@ -56,6 +56,20 @@
 	return r, nil
 }
 
+// readStart reads an answer up to the size that is buffered, or as much as there is memory for. It reports whether more of the
+// answer may follow.
+func (x *exchange) readStart(resp *upstream.Response) (body []byte, more bool, err error) {
+	length := resp.Length
+	if resp.Framing != upstream.FramingLength {
+		length = -1
+	}
+	body, err = readWithinMemory(resp.Body, length, maxBufferedBytes, x.memory)
+	if errors.Is(err, errNoMemory) {
+		return body, true, nil
+	}
+	return body, len(body) == maxBufferedBytes, err
+}
+
 // checkCrash returns the ending of an answer, given the one that its framing shows. An answer that ended only with its
 // connection is incomplete if the target's process has ended as well, unless the target leaves: the operating system
 // closes the connections of a process that crashes in order.
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,40 +3,56 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/camphorbank/camphorbank/internal/membudget"
 )
 
-// firstBodyBytes is the size of the buffer for a body whose length the caller does not state. It doubles when it is full.
-const firstBodyBytes = 4 << 10
+const (
+	// firstBodyBytes is the size of the first buffer for a body whose length is not stated. It doubles when it is full.
+	firstBodyBytes = 4 << 10
+	// statedBodyBytes is the size of the first buffer for a body whose length is stated. The whole body gets memory when that
+	// is full, so that a stated length alone takes no memory from other requests.
+	statedBodyBytes = 64 << 10
+)
 
-// errNoMemory is the error of a body for which the process has no memory now.
-var errNoMemory = errors.New("no memory for the body of the request")
+// errNoMemory is the error of reading what the process has no memory for now.
+var errNoMemory = errors.New("no memory for the request")
 
-// readWithinMemory reads a body and takes the memory that it needs from the budget, before it is allocated.
-func (x *exchange) readWithinMemory(from io.Reader) ([]byte, error) {
-	if n := x.r.ContentLength; n > 0 {
-		if !x.memory.Grow(n) {
-			return nil, errNoMemory
-		}
-		body := make([]byte, n)
-		_, err := io.ReadFull(from, body)
-		return body, err
-	}
-	var body []byte
+// readWithinMemory reads a body to its end, or the first most bytes of it. The length is -1 if it is not known. It takes the
+// memory that the body needs from the lease before it is allocated. What was read is also returned with an error.
+func readWithinMemory(from io.Reader, length, most int64, memory *membudget.Lease) (body []byte, _ error) {
 	for {
 		if len(body) == cap(body) {
-			size := max(firstBodyBytes, 2*cap(body))
-			if !x.memory.Grow(int64(size - cap(body))) {
-				return nil, errNoMemory
+			size := int(min(nextBufferBytes(int64(cap(body)), length), most))
+			if size == cap(body) {
+				return body, nil
+			}
+			if !memory.Grow(int64(size - cap(body))) {
+				return body, errNoMemory
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
+			if int64(len(body)) < length {
+				return body, io.ErrUnexpectedEOF
+			}
 			return body, nil
 		}
 		if err != nil {
-			return nil, err
+			return body, err
 		}
 	}
 }
+
+// nextBufferBytes returns the size of the buffer that follows a full one of a size.
+func nextBufferBytes(size, length int64) int64 {
+	switch {
+	case length < 0:
+		return max(firstBodyBytes, 2*size)
+	case size == 0:
+		return min(length, statedBodyBytes)
+	}
+	return length
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -54,6 +54,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, call: g.HeaderTranslator.Call(r.Header)}
 	x.record = Record{ID: x.call.ID, Started: time.Now()}
+	if x.conn = connOf(r); x.conn != nil {
+		x.memory = x.conn.memory
+	}
 	defer func() {
 		x.memory.Release()
 		x.record.Duration = time.Since(x.record.Started)
@@ -64,16 +67,32 @@
 	if g.Stop.Begun() {
 		w.Header().Set("Connection", "close")
 	}
-	if x.admit() {
+	if x.admit() && x.keepConnection() {
+		defer x.conn.requestEnded()
 		x.run()
 	}
 }
 
+// keepConnection makes sure that the connection and the memory of the request, which has been received, stay until it has
+// ended. It answers the request and returns false if one of them is being taken back.
+func (x *exchange) keepConnection() bool {
+	if !x.memory.Complete() {
+		x.refuseStalled()
+		return false
+	}
+	if x.conn != nil && !x.conn.slot.Run() {
+		x.record.setOutcome(OutcomeLeft, ReasonClosed)
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
 // exchange is the state of one request of a caller while it is handled.
 type exchange struct {
 	g        *Gateway
 	w        http.ResponseWriter
 	r        *http.Request
+	conn     *limitedConn // nil if the connection has no limits
 	call     Call
 	table    *routetable.Table
 	route    *routetable.Route
@@ -81,7 +100,7 @@
 	account  *routetable.Account // nil if the route needs no key
 	body     []byte
 	bodyRead bool
-	memory   *membudget.Lease // of the body; nil if there is none
+	memory   *membudget.Lease // of the request and the start of its answer; nil for no bound
 	ctx      context.Context  // ends when the caller leaves or the deadline passes
 	deadline time.Time
 	record   Record
@@ -156,13 +175,19 @@
 		x.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 		return false
 	}
-	x.memory = x.g.Bodies.Lease(x.accountName())
+	if x.memory == nil {
+		x.memory = x.g.Bodies.Lease(x.accountName())
+	}
+	x.memory.SetAccount(x.accountName())
 	body, err := x.readBodyInTime(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errStopping):
 		x.refuseUnread()
 		return false
+	case err != nil && x.memory.Revoked():
+		x.refuseStalled()
+		return false
 	case errors.Is(err, errNoMemory):
 		x.w.Header().Set("Connection", "close") // the rest of the body is not read
 		x.refuse(http.StatusServiceUnavailable, ReasonMemory, memoryRetryAfter)
@@ -189,7 +214,7 @@
 		return nil, err
 	}
 	interrupted := x.interruptBody()
-	body, err := x.readWithinMemory(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := readWithinMemory(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit+1, x.memory)
 	if interrupted() && err != nil {
 		return nil, errStopping
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
@@ -19,16 +22,27 @@
 	IdleTimeout   = 60 * time.Second
 	// MaxHeaderBytes bounds the head of a request. It is above the limits that configurations state.
 	MaxHeaderBytes = 64 << 10
-	// headerLineOverheadBytes is the size of a header line without its name and value.
-	headerLineOverheadBytes = len(": \r\n")
+	// headerLineOverheadBytes is the least size of a header line without its name and value.
+	headerLineOverheadBytes = len(":\r\n")
 )
 
 // NewServer returns a server that handles the requests of callers with g. It is meant for connections of a Listener,
-// which apply the limits of the configuration.
+// which apply the limits of the configuration. It speaks HTTP/1 only.
 func NewServer(g *Gateway) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	return &http.Server{Handler: g, ReadHeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout,
-		MaxHeaderBytes: MaxHeaderBytes,
-		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+		MaxHeaderBytes: MaxHeaderBytes, Protocols: protocols,
+		ConnState:   trackState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+}
+
+// trackState notes on a connection that it waits for its next request.
+func trackState(c net.Conn, s http.ConnState) {
+	if c, ok := httpdrain.Inner(c).(*limitedConn); ok && s == http.StateIdle {
+		c.head = headMeter{}
+		c.slot.Idle()
+	}
 }
 
 // connKey is the context key of the connection on which a request arrived.
@@ -53,34 +67,90 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Listener returns a listener whose connections apply the time limits of the present configuration.
-func Listener(l net.Listener, limits func() routetable.Limits) net.Listener {
-	return &listener{Listener: l, limits: limits}
-}
-
-type listener struct {
+// Listener accepts callers' connections and applies limits to them.
+type Listener struct {
 	net.Listener
-	limits func() routetable.Limits
+	Limits func() routetable.Limits // of the present configuration
+	Conns  *connlimit.Limit         // nil for no bound
+	Memory *membudget.Budget        // for the requests of the connections; nil for no bound
 }
 
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		slot, ok := l.Conns.Admit(c)
+		if !ok {
+			_ = c.Close()
+			continue
+		}
+		return &limitedConn{Conn: c, limits: l.Limits, slot: slot, memory: l.Memory.Lease("")}, nil
 	}
-	return &limitedConn{Conn: c, limits: l.limits}, nil
 }
 
 // limitedConn shortens the read deadlines that the server sets to the limits of the configuration. The limits of an
-// http.Server are fixed when it starts, whereas those of the configuration can change.
+// http.Server are fixed when it starts, whereas those of the configuration can change. It also takes the memory for the heads
+// of requests from the budget.
 type limitedConn struct {
 	net.Conn
-	limits func() routetable.Limits
+	limits  func() routetable.Limits
+	slot    *connlimit.Slot
+	memory  *membudget.Lease // of the present request
+	head    headMeter        // of the present request
+	expired atomic.Bool      // the memory was taken back
+}
+
+// Read reads from the connection. It fails if there is no memory for the head of a request, after which the server closes the
+// connection without an answer.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n <= 0 {
+		return n, err
+	}
+	c.slot.Received(n)
+	if cost := c.head.add(p[:n]); cost > 0 {
+		if !c.head.begun {
+			c.head.begun = true
+			c.memory.Receive(c.expire)
+		}
+		if !c.memory.Grow(cost) {
+			c.slot.NoMemory()
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
+		}
+	}
+	c.memory.Received(n)
+	return n, err
+}
+
+// requestEnded states that a request that ran has ended.
+func (c *limitedConn) requestEnded() {
+	if c != nil {
+		c.slot.Done()
+	}
+}
+
+// expire ends the reading of the present request, since its memory is taken back.
+func (c *limitedConn) expire() {
+	c.expired.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Close closes the connection.
+func (c *limitedConn) Close() error {
+	c.slot.Free()
+	c.memory.Release()
+	return c.Conn.Close()
 }
 
 // SetReadDeadline sets the deadline, or the limit of the configuration if that is earlier. The server sets a deadline
 // further away than HeaderTimeout only for an idle connection.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	if c.expired.Load() {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	if t.IsZero() {
 		return c.Conn.SetReadDeadline(t)
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -42,7 +42,8 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = server.Serve(gateway.Listener(inner, func() routetable.Limits { return f.gateway.Tables.Load().Config.Limits }))
+		_ = server.Serve(&gateway.Listener{Listener: inner, Memory: f.gateway.Bodies,
+			Limits: func() routetable.Limits { return f.gateway.Tables.Load().Config.Limits }})
 	}()
 	t.Cleanup(func() {
 		_ = server.Close()
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -1,12 +1,15 @@
 package gateway_test
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/membudget"
@@ -90,3 +93,63 @@
 		})
 	}
 }
+
+// TestStalledBodyMakesRoom guards against a body that holds memory although it does not arrive any more, while other requests
+// are refused. It must be refused truthfully: no target gets it.
+func TestStalledBodyMakesRoom(t *testing.T) {
+	const limit, stalledBytes, wholeBytes = 256 << 10, 120_000, 100_000
+	f := newFixture(t, target.Answer(200, "ok"), target.Answer(200, "ok"))
+	f.gateway.Bodies = membudget.New(limit)
+	addr := limitedServer(t, f, routetable.Limits{BodyBytes: limit})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	request := func(n int) string { return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", validHead, n) }
+	if _, err := io.WriteString(c, request(stalledBytes)+strings.Repeat("a", stalledBytes-1)); err != nil {
+		t.Fatal(err)
+	}
+	for f.gateway.Bodies.Held() < stalledBytes {
+		time.Sleep(time.Millisecond)
+	}
+	answers := map[int]int{}
+	for end := time.Now().Add(soundLimit); answers[200] == 0 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		status, _ := sendRaw(t, addr, request(wholeBytes)+strings.Repeat("a", wholeBytes), true)
+		answers[status]++
+	}
+	if answers[200] != 1 || answers[503] == 0 || len(answers) != 2 {
+		t.Errorf("answers by status %v, want 503 until the other body counts as stalled and then 200", answers)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != 503 || !strings.Contains(string(body), string(gateway.ReasonStalled)) || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("the stalled body gets %d %q %v", resp.StatusCode, body, resp.Header)
+	}
+	if f.arrivals() != 1 {
+		t.Errorf("%d requests reached targets", f.arrivals())
+	}
+	if n := f.gateway.Bodies.Held(); n != 0 {
+		t.Errorf("%d bytes are held at the end", n)
+	}
+}
+
+// TestAnswerWithoutMemory guards against answers that are lost or changed because there is no memory to buffer them.
+func TestAnswerWithoutMemory(t *testing.T) {
+	answer := strings.Repeat("a", 100_000)
+	f := newFixture(t, target.Answer(200, answer), target.Answer(200, answer))
+	f.gateway.Bodies = membudget.New(10_000)
+	other := f.gateway.Bodies.Lease("other")
+	other.Grow(7_000) // leaves room for the head of a request
+	defer other.Release()
+	addr := limitedServer(t, f, routetable.Limits{})
+	for range 3 {
+		if status, body := sendRaw(t, addr, validHead+"Content-Length: 0\r\n\r\n", true); status != 200 || body != answer {
+			t.Errorf("status %d with %d bytes", status, len(body))
+		}
+	}
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -32,7 +32,9 @@
 	ReasonTooLarge   Reason = "body-too-large"
 	ReasonSlowBody   Reason = "body-too-slow"
 	ReasonBody       Reason = "body-incomplete"
-	ReasonMemory     Reason = "memory-used-up" // of the bodies of requests in progress
+	ReasonMemory     Reason = "memory-used-up" // of the requests in progress
+	ReasonStalled    Reason = "body-stalled"   // its memory was taken back for another request
+	ReasonClosed     Reason = "closed"         // its connection was closed for another one
 	ReasonTimeout    Reason = "timeout"
 	ReasonAttempts   Reason = "attempts-used-up"
 	ReasonBudget     Reason = "retry-budget-used-up"
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -28,6 +28,13 @@
 	x.writeError(status, reason)
 }
 
+// refuseStalled refuses a request that has not been received, as its memory is taken back for another one.
+func (x *exchange) refuseStalled() {
+	x.memory.Release()
+	x.w.Header().Set("Connection", "close") // the rest of the request is not read
+	x.refuse(http.StatusServiceUnavailable, ReasonStalled, memoryRetryAfter)
+}
+
 // fail answers a request that may have run.
 func (x *exchange) fail(reason Reason) {
 	x.record.setOutcome(OutcomeFailed, reason)
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -40,14 +40,17 @@
 	conns     map[*conn]bool // open connections
 }
 
-// New returns a listener for the server, which must serve no other one. It sets the server's ConnState and wraps its
-// handler.
+// New returns a listener for the server, which must serve no other one. It wraps the server's ConnState and its handler.
 func New(l net.Listener, server *http.Server) *Listener {
 	out := &Listener{Listener: l, server: server, closed: make(chan struct{}), conns: map[*conn]bool{}}
+	next := server.ConnState
 	server.ConnState = func(c net.Conn, s http.ConnState) {
 		if c, ok := c.(*conn); ok {
 			c.setState(s)
 		}
+		if next != nil {
+			next(c, s)
+		}
 	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,7 @@
 	GroupEvents       = expvar.NewMap("group_events_total")       // events of the coordinated engine group, by kind
 	BalanceEvents     = expvar.NewMap("balance_events_total")     // changes in the state of targets and groups, by kind
 	QuarantineEvents  = expvar.NewMap("quarantine_events_total")  // crashes of engines and quarantines of parts of prompts, by kind
+	ClosedForRoom     = expvar.NewMap("closed_for_room_total")    // connections and requests ended to make room for others, by listener and reason
 	Gauges            = expvar.NewMap("gauge")                    // current values, by gauge name
 	ExpertLoads       = expvar.NewInt("experts_loaded_total")     // by all ranks of the coordinated groups
 	FirstByte         = newHistogram("first_byte_seconds")        // from arrival until the response headers are sent
@@ -128,6 +129,15 @@
 	return out
 }
 
+// EachCount calls f for each label of a map of counters.
+func EachCount(m *expvar.Map, f func(label string, n int64)) {
+	m.Do(func(entry expvar.KeyValue) {
+		if n, ok := entry.Value.(*expvar.Int); ok {
+			f(entry.Key, n.Value())
+		}
+	})
+}
+
 // SetGauge sets the gauge with the given name to value.
 func SetGauge(name string, value int64) {
 	v := new(expvar.Int)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,17 +11,16 @@
 
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/balance"
+	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
-	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -56,7 +54,7 @@
 	targets       *targetset.Set
 	balance       *balance.Balancer
 	quarantine    *quarantine.Tracker
-	bodies        *membudget.Budget // nil for no bound
+	resources     *resources
 	retries       *retry.FleetBudget
 	pool          *upstream.Pool
 	peers         *peer.Pool
@@ -73,7 +71,8 @@
 func newEntry(s *Settings, a Adapters) *entry {
 	e := &entry{settings: s, adapters: a, tables: &routetable.Store{}, targets: targetset.New(), pool: upstream.NewPool(),
 		peers: &peer.Pool{IdleTimeout: peerIdleTimeout}, stopping: gateway.NewStop(), records: decision.NewRing(maxRecords)}
-	e.bodies = s.bodyBudget()
+	e.resources = newResources(s)
+	e.pool.MaxOpen = e.resources.targetConns
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
 	e.balance.Notify, e.balance.Connected = logBalance, e.pool.Idle
@@ -106,33 +105,34 @@
 func (e *entry) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
+	callers, err := listen(e.settings.Listen.Callers, e.resources.callerConns)
 	if err != nil {
 		return err
 	}
-	ready, err := net.Listen("tcp", e.settings.Listen.Ready)
+	ready, err := listen(e.settings.Listen.Ready, e.resources.readyConns)
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	control, err := tcpconn.Listen(e.settings.Listen.Control)
+	control, err := e.resources.listenControl(e.settings.Listen.Control)
 	if err != nil {
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
-	server := peer.NewServer()
+	server := e.resources.newPeerServer()
 	e.fleet.Register(server)
 	server.Handle(methodExplain, peer.TypedHandler(e.explainLocal))
 	callerServer := e.newCallerServer()
-	callerListener := httpdrain.New(gateway.Listener(callers, e.limits), callerServer)
+	callerListener := httpdrain.New(&gateway.Listener{Listener: callers, Limits: e.limits, Conns: e.resources.callerConns, Memory: e.resources.requests}, callerServer)
 	group, failed := errgroup.WithContext(ctx)
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
 	readiness := newServer(e.adapters.ReadinessHandler(e.isReady))
-	go func() { _ = readiness.Serve(ready) }() // ends with the process
+	go func() { _ = readiness.Serve(e.resources.readyConns.Listener(ready)) }() // ends with the process
 	go func() { _ = server.Serve(background, control) }()
 	go e.watcher.Run(background)
 	go e.fleet.Run(background)
 	go e.upkeep(background)
 	go e.adapters.Reload.run(background, e.settings, e.reload)
-	serveMetrics(background, e.settings.Listen.Metrics, e.serveExplain)
+	serveMetrics(background, e.settings.Listen.Metrics, e.resources.metricsConns, e.serveExplain)
+	go logClosedForRoom(background)
 	<-failed.Done()
 	if ctx.Err() != nil {
 		e.stop(background, callerServer, callerListener)
@@ -142,8 +142,10 @@
 
 // newServer returns a server of requests for readiness or metrics.
 func newServer(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	return &http.Server{Handler: h, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog}
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog, Protocols: protocols, ConnState: connlimit.ConnState}
 }
 
 // ignoreServerClosed returns err unless it only reports that the server was shut down.
@@ -158,7 +160,7 @@
 func (e *entry) newCallerServer() *http.Server {
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.bodies, Observe: e.observe, Stop: e.stopping,
+		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.resources.requests, Observe: e.observe, Stop: e.stopping,
 	})
 	server.ErrorLog = serverLog
 	return server
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/decision"
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/metrics"
@@ -53,11 +53,11 @@
 // serveMetrics serves the metrics, and on entries the decision records of recent requests, at addr until ctx ends. It
 // serves nothing if addr is empty. A failure to listen is only logged, so that the process still accepts requests.
 // explain is nil in processes that accept no requests.
-func serveMetrics(ctx context.Context, addr string, explain http.HandlerFunc) {
+func serveMetrics(ctx context.Context, addr string, conns *connlimit.Limit, explain http.HandlerFunc) {
 	if addr == "" {
 		return
 	}
-	l, err := net.Listen("tcp", addr)
+	l, err := listen(addr, conns)
 	if err != nil {
 		log.WithField("error", err.Error()).Warn("metrics are not served")
 		return
@@ -70,7 +70,7 @@
 	}
 	server := newServer(mux)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() { _ = server.Serve(l) }() // ends with the process
+	go func() { _ = server.Serve(conns.Listener(l)) }() // ends with the process
 }
 
 // decisionRecord converts a gateway record into the decision record that the command-line tool shows.
@@ -114,8 +114,9 @@
 	metrics.SetGauge("entries_live", int64(live))
 	metrics.SetGauge("entries_known", int64(known))
 	metrics.SetGauge("requests_in_flight", int64(sumCounts(e.balance.InFlight())))
-	metrics.SetGauge("request_body_bytes", e.bodies.Held())
+	metrics.SetGauge("request_body_bytes", e.resources.requests.Held())
 	metrics.SetGauge("quarantined_parts", int64(e.quarantine.Quarantined()))
+	metrics.SetGauge("caller_connections", int64(e.resources.callerConns.Open()))
 	metrics.SetGauge("target_connections_opened", e.pool.Dials())
 }
 
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -15,7 +15,6 @@
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 	"github.com/camphorbank/camphorbank/internal/routetable"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -77,11 +76,12 @@
 
 // run serves the coordinators of the group, and registers with the entries until ctx ends.
 func (r *rank) run(ctx context.Context) error {
-	l, err := tcpconn.Listen(r.self.Control)
+	resources := newResources(r.settings)
+	l, err := resources.listenControl(r.self.Control)
 	if err != nil {
 		return err
 	}
-	server := peer.NewServer()
+	server := resources.newPeerServer()
 	server.Handle(methodRead, peer.TypedHandler(r.agent.Read))
 	server.Handle(methodOrder, peer.TypedHandler(r.agent.Order))
 	relay := rankgroup.Relay{Ranks: r, Knows: r.knowsRank}
@@ -94,7 +94,8 @@
 	defer stop()
 	go func() { _ = server.Serve(background, l) }() // ends with the process
 	go r.adapters.Reload.run(background, r.settings, func(s *Settings) { r.client.SetSeeds(s.Seeds) })
-	serveMetrics(background, r.settings.Listen.Metrics, nil)
+	serveMetrics(background, r.settings.Listen.Metrics, resources.metricsConns, nil)
+	go logClosedForRoom(background)
 	r.runRegistration(ctx)
 	server.Close()
 	return nil
--- /dev/null
+++ b/internal/node/resources_test.go
@@ -0,0 +1,47 @@
+package node
+
+import "testing"
+
+// TestResourcesFitTheSettings guards against shares that exceed the settings together, and against limits that a client which
+// behaves would meet.
+func TestResourcesFitTheSettings(t *testing.T) {
+	const bodyBytes, processes = 4 << 20, 360
+	for _, s := range []Settings{
+		{Role: RoleEntry, MemoryBytes: 284e6, MaxFiles: 4100},
+		{Role: RoleEntry, MemoryBytes: 160e6, MaxFiles: 4100},
+		{Role: RoleRank, MemoryBytes: 128e6, MaxFiles: 2048},
+	} {
+		r := newResources(&s)
+		sockets := s.MaxFiles - reservedFiles
+		sum := r.controlConns.Max() + r.readyConns.Max() + r.metricsConns.Max()
+		if s.Role == RoleEntry {
+			sum += r.callerConns.Max() + r.targetConns
+			if r.callerConns.Max() > r.targetConns {
+				t.Errorf("%d MB: %d callers and %d connections to targets", s.MemoryBytes/1e6, r.callerConns.Max(), r.targetConns)
+			}
+		}
+		if sum > sockets {
+			t.Errorf("%d MB: the shares are %d of %d sockets", s.MemoryBytes/1e6, sum, sockets)
+		}
+		if r.controlConns.Max() < processes {
+			t.Errorf("%d MB: %d connections of other processes", s.MemoryBytes/1e6, r.controlConns.Max())
+		}
+		first, second := r.requests.Lease("a"), r.requests.Lease("b")
+		if !first.Grow(bodyBytes) || !second.Grow(bodyBytes) {
+			t.Errorf("%d MB: two bodies of the largest size do not fit", s.MemoryBytes/1e6)
+		}
+	}
+}
+
+// TestNoSettingsNoLimits guards against limits in a process whose settings state none.
+func TestNoSettingsNoLimits(t *testing.T) {
+	r := newResources(&Settings{Role: RoleEntry})
+	for range 10_000 {
+		if _, ok := r.callerConns.Admit(nil); !ok {
+			t.Fatal("refused")
+		}
+	}
+	if !r.requests.Lease("").Grow(1<<40) || r.targetConns != 0 {
+		t.Error("memory or connections to targets are limited")
+	}
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,13 +4,7 @@
 // settings, and writes log lines and metrics.
 package node
 
-import (
-	"os"
-	"runtime/debug"
-	"time"
-
-	"github.com/camphorbank/camphorbank/internal/membudget"
-)
+import "time"
 
 // Role is the function of a process.
 type Role string
@@ -35,29 +29,7 @@
 	Bounds      DeploymentLimits
 	Store       string // address of the platform's key-value store
 	MemoryBytes int64  // memory of the VM, above which the process is killed; 0 if unstated
-}
-
-const (
-	// bodyMemoryShare is the share of the memory for the bodies of requests in progress. Connections, answers that are buffered
-	// and the rest of the process need the other part.
-	bodyMemoryShare = 0.2
-	// heapMemoryShare is the share of the memory from which on the Go runtime collects garbage at any cost in processor time.
-	heapMemoryShare = 0.35
-)
-
-// bodyBudget returns the budget for the bodies of requests, or nil if the memory is not stated.
-func (s *Settings) bodyBudget() *membudget.Budget {
-	if s.MemoryBytes <= 0 {
-		return nil
-	}
-	return membudget.New(int64(bodyMemoryShare * float64(s.MemoryBytes)))
-}
-
-// limitHeap makes the Go runtime keep the process below the memory of the VM. An operator's GOMEMLIMIT takes precedence.
-func (s *Settings) limitHeap() {
-	if s.MemoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes)))
-	}
+	MaxFiles    int    // descriptors that the process may have open; 0 if unstated
 }
 
 // PortRange is an inclusive range of ports.
