--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,7 @@
 	Contention        = expvar.NewMap("contention_total")         // decisions of services with priorities, by decision and priority
 	QuarantineEvents  = expvar.NewMap("quarantine_events_total")  // crashes of engines and quarantines of parts of prompts, by kind
 	KeptPrompts       = expvar.NewMap("kept_prompts_total")       // attempts at targets believed to hold a part of the prompt, its tokens, and attempts elsewhere because of the wait, by kind
+	ClosedForRoom     = expvar.NewMap("closed_for_room_total")    // connections and requests ended to make room for others, by listener and reason
 	Gauges            = expvar.NewMap("gauge")                    // current values, by gauge name
 	ExpertLoads       = expvar.NewInt("experts_loaded_total")     // by all ranks of the coordinated groups
 	FirstByte         = newHistogram("first_byte_seconds")        // from arrival until the response headers are sent
@@ -132,6 +133,15 @@
 	return out
 }
 
+// EachCount calls f for each label of a map of counters.
+func EachCount(m *expvar.Map, f func(label string, n int64)) {
+	m.Do(func(entry expvar.KeyValue) {
+		if n, ok := entry.Value.(*expvar.Int); ok {
+			f(entry.Key, n.Value())
+		}
+	})
+}
+
 // SetGauge sets the gauge with the given name to value.
 func SetGauge(name string, value int64) {
 	v := new(expvar.Int)
