--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -141,7 +141,7 @@
 	// Decided receives each decision about a request of a service whose requests differ in priority. The same holds for it
 	// as for Notify.
 	Decided func(class int, d contention.Decision)
-	// Random returns the random parts of scores, in [0, 1). It must not be changed once the balancer is in use.
+	// Random returns the random parts of scores and of times of return, in [0, 1). It must not be changed once the balancer is in use.
 	Random func() float64
 
 	mu             sync.Mutex
@@ -388,6 +388,9 @@
 	}
 	if r == Served {
 		q.lastServed = now
+		if q.firstServed.IsZero() {
+			q.firstServed = now
+		}
 	}
 	l.b.dispatchAll()
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -30,6 +29,7 @@
 	waiting        []*waiter
 	freedPerSecond float64 // moving average of the places freed per second
 	rateUpdated    time.Time
+	firstServed    time.Time // time of the first request that was served; zero if there was none
 	lastServed     time.Time // time of the last request that was served, or of the first request
 }
 
@@ -167,7 +167,7 @@
 	r := &Refusal{reason, b.retryAfter(q, job)}
 	switch reason {
 	case ReasonClosed:
-		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*rand.Float64())))
+		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*b.Random())))
 	case ReasonCold:
 		r.RetryAfter = min(r.RetryAfter, coldReturn())
 	case ReasonQuiet:
@@ -182,9 +182,9 @@
 func (b *Balancer) retryAfter(q *queue, job *Job) time.Duration {
 	latest := min(maxRetryAfter, time.Duration(RetryAfterShare*float64(job.Remaining)))
 	if q.contention != nil {
-		return q.contention.RetryAfter(job.request(), latest, rand.Float64(), b.now())
+		return q.contention.RetryAfter(job.request(), latest, b.Random(), b.now())
 	}
-	return time.Duration(float64(latest) * (1 - retryAfterJitter*rand.Float64()))
+	return time.Duration(float64(latest) * (1 - retryAfterJitter*b.Random()))
 }
 
 // countAhead returns the number of waiting requests that are served before the job. Blocked ones do not count.
