balance: requests with a limit count each other, and one at a cold limit does not stop the queue

A waiting request with a region limit was marked as blocked while its targets were full, so that none counted as ahead of the next one: all of them waited although only the first could get a place in time. At the limit of cold targets it was not marked at all, and every request behind it waited, also those with free places.

--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -109,7 +109,7 @@
 	now := b.now()
 	for i := len(q.waiting) - 1; i >= 0 && q.waiting[i].job.yieldsTo(job); i-- {
 		w := q.waiting[i]
-		if w.blockedBy != "" || now.Add(b.expectedWait(q, w.job, i)).Before(w.until) {
+		if !w.waitsForPlace(w.job.Limit) || now.Add(b.expectedWait(q, w.job, i)).Before(w.until) {
 			continue
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -50,3 +50,45 @@
 		t.Fatal(r)
 	}
 }
+
+// TestLimitedRequestsWaitInTurn guards against limited requests that do not count those ahead of them with the same limit, so
+// that all of them wait although only the first can get a place in time. Load pattern: one region is full.
+func TestLimitedRequestsWaitInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		near := []*targetset.Target{{ID: "n", Addr: "n", Service: "s", Slots: 1, DataCentre: "near"}}
+		job := &Job{Name: "s", MaxWait: rateWindow, Limit: "north", Targets: func() []*targetset.Target { return near }}
+		running := acquireAtOnce(t, b, job, 2) // shows that a place comes free in each rateWindow
+		go func() { _, _ = b.Acquire(context.Background(), job) }()
+		synctest.Wait()
+		started := time.Now()
+		if _, r := b.Acquire(context.Background(), job); r == nil || r.Reason != ReasonFull || time.Since(started) > 0 {
+			t.Errorf("second in turn: %+v after %v", r, time.Since(started))
+		}
+		for _, l := range running {
+			l.Done(Served)
+		}
+	})
+}
+
+// TestColdRegionDoesNotDelayOthers guards against requests that wait behind one that is limited to a region whose targets are at
+// the limit of cold ones, while other targets have free places. Load pattern: a region that comes back cold.
+func TestColdRegionDoesNotDelayOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, list, limited := coldBalancer(1)
+		limited.Limit, limited.MaxWait = "north", time.Hour
+		for _, l := range acquireAll(b, &Job{Name: limited.Name, Service: limited.Service, Limit: limited.Limit, Targets: limited.Targets}) {
+			l.Done(Served)
+		}
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		go func() { _, _ = b.Acquire(ctx, limited) }()
+		synctest.Wait()
+		other := []*targetset.Target{{ID: "other", Addr: "other", Service: list[0].Service, Slots: 1, DataCentre: "far"}}
+		free := &Job{Name: limited.Name, MaxWait: time.Hour, Targets: func() []*targetset.Target { return other }}
+		started := time.Now()
+		if _, r := b.Acquire(context.Background(), free); r != nil || time.Since(started) > 0 {
+			t.Errorf("request with free places: %+v after %v", r, time.Since(started))
+		}
+	})
+}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -66,7 +66,7 @@
 func (w *waiter) block(reason Reason) {
 	before := w.blockedBy
 	w.blockedBy, w.atColdLimit = blockedReason(reason), reason == ReasonCold
-	if reason == ReasonFull && w.job.Limit != "" {
+	if (reason == ReasonFull || reason == ReasonCold) && w.job.Limit != "" {
 		w.blockedBy = reason // other requests may have targets with free places
 	}
 	if reason == ReasonClosed && before != ReasonClosed && len(w.job.Exclude) == 0 && w.job.WaitsForOpening != nil {
@@ -191,13 +191,25 @@
 func (q *queue) countAhead(job *Job) int {
 	n := 0
 	for _, w := range q.waiting {
-		if w.blockedBy == "" && !w.job.yieldsTo(job) {
+		if w.waitsForPlace(job.Limit) && !w.job.yieldsTo(job) {
 			n++
 		}
 	}
 	return n
 }
 
+// waitsForPlace reports whether the waiter's request waits for a place at the targets of jobs with a limit. A request that is
+// limited itself takes no places from those with other limits while its own targets have none.
+func (w *waiter) waitsForPlace(limit string) bool {
+	switch w.blockedBy {
+	case "":
+		return true
+	case ReasonFull, ReasonCold:
+		return w.job.Limit == limit
+	}
+	return false
+}
+
 // yieldsTo reports whether a waiting job is served after another one that arrives later.
 func (j *Job) yieldsTo(other *Job) bool { return other.rank.Before(j.rank) }
 
