balance: a caller that leaves while it waits is no refusal

It was counted as refused for want of a place, so that other callers were sent away for longer and the service seemed contended. Found by review; TestGivingUpIsNoRefusal fails without the change.

--- a/internal/balance/contention_test.go
+++ b/internal/balance/contention_test.go
@@ -257,3 +257,31 @@
 		}
 	})
 }
+
+// TestGivingUpIsNoRefusal guards against callers that leave while they wait and count as refused for want of places, which
+// would send other callers away for longer.
+func TestGivingUpIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(1)
+		job := modelJob(list)
+		job.Prioritized, job.Objective, job.MaxWait = true, time.Second, time.Hour
+		refused := 0
+		b.Decided = func(_ int, d contention.Decision) {
+			if d != contention.Admitted {
+				refused++
+			}
+		}
+		for {
+			ctx, leave := context.WithTimeout(context.Background(), time.Millisecond)
+			l, _ := b.Acquire(ctx, job)
+			leave()
+			if l == nil {
+				break
+			}
+		}
+		if refused > 0 {
+			t.Errorf("%d refusals counted", refused)
+		}
+	})
+}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -226,11 +226,13 @@
 func (b *Balancer) awaitPlace(ctx context.Context, q *queue, w *waiter) (*Lease, *Refusal) {
 	timer := time.NewTimer(w.job.MaxWait)
 	defer timer.Stop()
+	ended := false // the request ended while it waited
 	select {
 	case p := <-w.placed:
 		return p.lease, p.refusal
 	case <-timer.C:
 	case <-ctx.Done():
+		ended = true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -249,6 +251,9 @@
 	case w.blockedBy != "":
 		reason = w.blockedBy
 	}
+	if ended { // not for want of a place
+		return nil, &Refusal{reason, b.retryAfter(q, w.job)}
+	}
 	return nil, b.refuse(q, w.job, reason, b.quietLeft(w.job, reason))
 }
 
