balance: requests wait until a new process knows how fast places come free

After a restart of all entries each of them refused every request that found no place, since none had come free yet, and callers that returned were lost. A request may now wait in the first moments.

--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -88,6 +88,9 @@
 	if q.contention == nil {
 		return q.expectedWait(n, now)
 	}
+	if !q.rateKnown(now) {
+		return 0
+	}
 	missing := max(0, q.contention.Kept(job.rank, now)-q.free) / float64(len(b.peerReportedAt)+1)
 	q.decayRate(now)
 	perSecond := q.freedPerSecond - q.contention.AheadPerSecond(job.rank, now)
@@ -100,6 +103,16 @@
 	return time.Duration((float64(n+1) + missing) / perSecond * float64(time.Second))
 }
 
+// rateKnown reports whether the process has served requests for long enough to know how fast places come free. A process that
+// has just started would otherwise refuse all that find no place, although the first places come free when the first answers
+// end.
+func (q *queue) rateKnown(now time.Time) bool {
+	if q.firstServed.IsZero() {
+		return now.Sub(q.lastServed) >= maxClosedOutage
+	}
+	return now.Sub(q.firstServed) >= rateWindow
+}
+
 // displace refuses the waiting requests that yield to a job that has begun to wait, if they are no longer expected to get
 // a place in time. The caller holds the lock.
 func (b *Balancer) displace(q *queue, job *Job) {
--- a/internal/balance/contention_test.go
+++ b/internal/balance/contention_test.go
@@ -285,3 +285,22 @@
 		}
 	})
 }
+
+// TestWaitsUntilRateIsKnown guards against a process that refuses all callers without a place in its first second, since it has
+// not seen a place come free yet. Load pattern: restart of all entries at the crest.
+func TestWaitsUntilRateIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("near", time.Now)
+		list := engines(1)
+		job := modelJob(list)
+		job.Prioritized, job.Objective = true, time.Second
+		leases := acquireAll(b, job) // the last attempt has waited in vain
+		waited := make(chan *Refusal, 1)
+		go func() { _, r := b.Acquire(context.Background(), job); waited <- r }()
+		synctest.Wait()
+		leases[0].Done(Served)
+		if r := <-waited; r != nil {
+			t.Errorf("refused: %+v", r)
+		}
+	})
+}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -29,7 +29,7 @@
 	waiting        []*waiter
 	freedPerSecond float64 // moving average of the places freed per second
 	rateUpdated    time.Time
-	firstServed    time.Time // time of the first request that was served; zero if there was none
+	firstServed    time.Time // end of the first request that was served; zero if there was none
 	lastServed     time.Time // time of the last request that was served, or of the first request
 }
 
