--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -1,14 +1,13 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 )
 
 // coldReturn returns the time after which a caller returns whose targets are at the limit of the requests that they may get
 // while they are cold. Places become free within a second.
-func coldReturn() time.Duration {
-	return time.Duration(float64(time.Second) * (1 - retryAfterJitter*rand.Float64()))
+func (b *Balancer) coldReturn() time.Duration {
+	return time.Duration(float64(time.Second) * (1 - retryAfterJitter*b.Random()))
 }
 
 // MaySend reports whether the request may be sent now, which is asked immediately before it is sent, each time.
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -70,7 +70,7 @@
 // many are free. The caller holds the lock.
 func (b *Balancer) keepsBack(job *Job, free float64, now time.Time) bool {
 	q := b.queueOf(job.Name)
-	if q.contention == nil {
+	if q.contention == nil || !job.Prioritized { // the job is of an earlier configuration
 		return false
 	}
 	q.free = free
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -169,9 +169,9 @@
 	case ReasonClosed:
 		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*b.Random())))
 	case ReasonCold:
-		r.RetryAfter = min(r.RetryAfter, coldReturn())
+		r.RetryAfter = min(r.RetryAfter, b.coldReturn())
 	case ReasonQuiet:
-		r.RetryAfter = min(r.RetryAfter, quietRetryAfter(quiet))
+		r.RetryAfter = min(r.RetryAfter, b.quietRetryAfter(quiet))
 	}
 	return r
 }
--- a/internal/balance/quiet.go
+++ b/internal/balance/quiet.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -55,6 +54,6 @@
 const quietSpread = 0.5
 
 // quietRetryAfter returns the retry-after time of a caller whose targets want no requests for at least the time left.
-func quietRetryAfter(left time.Duration) time.Duration {
-	return left + time.Duration(quietSpread*rand.Float64()*float64(left))
+func (b *Balancer) quietRetryAfter(left time.Duration) time.Duration {
+	return left + time.Duration(quietSpread*b.Random()*float64(left))
 }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -78,6 +78,9 @@
 		encoded = h.Summary.Demand
 	}
 	if table == nil || table.Config.Version != h.Config || len(encoded) == 0 || f.opt.ReportDemand == nil {
+		if h.Summary == nil {
+			f.storeDemand(h.From, nil) // an earlier one must not go on to other data centres
+		}
 		return
 	}
 	demand, ok := decodeDemand(table, encoded)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,7 +130,7 @@
 	switch {
 	case len(x.allowed(list.SetAside[x.service])) > 0:
 		return balance.ReasonEvacuated
-	case len(list.SetAside[x.service])+len(list.ByService[x.service]) > 0:
+	case x.isLimited() && len(list.SetAside[x.service])+len(list.ByService[x.service]) > 0:
 		return balance.ReasonOutside
 	}
 	return balance.ReasonNoTargets
