balance, coldstart, gateway: choosing and taking a target are separate steps

pick chose a target, weighed the reasons against it and built the lease in one function. The order of the steps and the reasons are the same as before. Lease.Held and Lease.Cold are now AtColdLimit and ReportCold.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -63,9 +63,9 @@
 	Remaining time.Duration       // until the caller gives up
 	Returning bool                // the caller was refused before and gives up if it is refused again
 	Priority  int                 // 0 is the most urgent
-	// Prioritized is set if requests of the service may differ in priority, so that package contention orders them.
+	// Prioritized is set if routes of different priorities lead to the service, so that package contention orders its requests.
 	Prioritized bool
-	Class       int                            // orders the requests of such a service; 0 is the most urgent
+	Class       int                            // priority within a service with Prioritized; 0 is the most urgent
 	Objective   time.Duration                  // latency objective, counted from the first attempt of the caller
 	Account     string                         // client account; empty if there is none
 	Exclude     map[targetset.Incarnation]bool // targets that have already failed this request
@@ -97,14 +97,14 @@
 
 // Lease is a place that a request holds at a target. Done must be called exactly once.
 type Lease struct {
-	Target   *targetset.Target
-	b        *Balancer
-	s        *targetState
-	service  string
-	progress *progress          // progress of the target's group; nil if the group is unknown
-	engine   *routetable.Engine // nil if the target is no engine
-	cold     *coldstart.Ticket
-	held     bool // MaySend has refused the request
+	Target      *targetset.Target
+	b           *Balancer
+	s           *targetState
+	service     string
+	progress    *progress          // progress of the target's group; nil if the group is unknown
+	engine      *routetable.Engine // nil if the target is no engine
+	cold        *coldstart.Ticket
+	atColdLimit bool // MaySend has refused the request
 
 	contention *contention.Service // nil if the service's requests have the same priority
 	class      int
@@ -138,8 +138,8 @@
 	// Cold limits the requests to targets that are cold or may become so. It may be nil, and must not be changed once the
 	// balancer is in use.
 	Cold *coldstart.Limiter
-	// Decided receives each decision about a request of a service whose requests differ in priority. The same holds for it
-	// as for Notify.
+	// Decided receives each decision about a request of a service with priorities. Like Notify, it must neither block nor call
+	// the balancer, may be nil, and must not be changed once the balancer is in use.
 	Decided func(class int, d contention.Decision)
 	// Random returns the random parts of scores, in [0, 1). It must not be changed once the balancer is in use.
 	Random func() float64
@@ -165,7 +165,7 @@
 	health         health
 	lastEventGap   time.Duration // latest gap between two events of a stream
 	lastEventGapAt time.Time     // when it was observed
-	unprocessed    time.Duration // expected time for processing the prompts of requests without an event
+	unprocessed    time.Duration // expected time for processing the prompts of requests that have sent no event yet
 }
 
 // eventGapMaxAge is the time for which the gap between two events counts as the present speed of a target.
@@ -206,73 +206,104 @@
 // lock.
 func (b *Balancer) pick(job *Job) (*Lease, Reason) {
 	now := b.now()
+	c := b.choose(job, now)
+	kept := b.keepsBack(job, c.free, now)
+	switch {
+	case c.best == nil:
+		return nil, c.reason
+	case kept:
+		return nil, ReasonKept
+	}
+	return b.lease(job, &c, now), ""
+}
+
+// choice is the result of looking for a target for a job.
+type choice struct {
+	best   *targetset.Target // nil if no target takes the request
+	reason Reason            // why best is nil
+	free   float64           // free places of the service; 0 for a service without priorities
+	cold   coldstart.Rates
+	plan   *promptPlan
+}
+
+// choose looks for the target with the best score. The caller holds the lock.
+func (b *Balancer) choose(job *Job, now time.Time) choice {
 	targets := job.Targets()
 	counts, groups := b.loads(targets, now)
 	if job.SetAside != nil {
 		b.addGroupLoads(groups, job.SetAside(), now)
 	}
-	cold, atColdLimit := b.Cold.Rates(job.Service, targets, now), false
-	plan := b.planPrompt(job)
-	var best *targetset.Target
-	bestScore := math.Inf(1)
-	free := 0.0
-	reason := ReasonNoTargets
+	c := choice{reason: ReasonNoTargets, cold: b.Cold.Rates(job.Service, targets, now), plan: b.planPrompt(job)}
 	if len(targets) == 0 && job.NoTargets != nil {
-		reason = job.NoTargets()
+		c.reason = job.NoTargets()
 	}
+	bestScore, atColdLimit := math.Inf(1), false
 	for i, t := range targets {
 		if job.Exclude[t.Incarnation()] {
 			continue
 		}
 		g := b.groupOf(t, now)
-		if b.stateOf(t).quiet(now) {
-			if reason != ReasonFull {
-				reason = ReasonQuiet
-			}
-			continue
-		}
-		if !b.stateOf(t).health.usable(now) || g != nil && !g.report.TakesRequests || b.stalledAndProbed(t.Addr, now, maxEventGap(job)) {
-			if reason == ReasonNoTargets {
-				reason = ReasonClosed
-			}
+		if reason := b.unavailable(t, g, job, now); reason != "" {
+			c.skipped(reason)
 			continue
 		}
-		reason = ReasonFull
+		c.reason = ReasonFull
 		if job.Prioritized {
-			free += b.capacity(t, job, g) - float64(counts[i])
+			c.free += b.capacity(t, job, g) - float64(counts[i])
 		}
-		score, ok := b.score(t, job, counts[i], g, groups[g], plan, now)
+		score, ok := b.score(t, job, counts[i], g, groups[g], c.plan, now)
 		if !ok || score >= bestScore {
 			continue
 		}
-		if !cold.Allow(t, now) {
+		if !c.cold.Allow(t, now) {
 			atColdLimit = true
 			continue
 		}
-		best, bestScore = t, score
+		c.best, bestScore = t, score
 	}
 	if job.Prioritized {
 		b.recordLoads(groups)
 	}
-	kept := b.keepsBack(job, free, now)
-	if best == nil {
-		if atColdLimit {
-			reason = ReasonCold
-		}
-		return nil, reason
+	if c.best == nil && atColdLimit {
+		c.reason = ReasonCold
 	}
-	if kept {
-		return nil, ReasonKept
+	return c
+}
+
+// unavailable returns the reason why a target of a group takes no requests at present whatever its load is, or an empty one if
+// it takes them. The caller holds the lock.
+func (b *Balancer) unavailable(t *targetset.Target, g *group, job *Job, now time.Time) Reason {
+	s := b.stateOf(t)
+	switch {
+	case s.quiet(now):
+		return ReasonQuiet
+	case !s.health.usable(now), g != nil && !g.report.TakesRequests, b.stalledAndProbed(t.Addr, now, maxEventGap(job)):
+		return ReasonClosed
 	}
-	s := b.stateOf(best)
+	return ""
+}
+
+// skipped records why a target is unavailable. A full target says most about the time until a place is free, then a quiet one,
+// then a closed one.
+func (c *choice) skipped(reason Reason) {
+	if c.reason == ReasonNoTargets || reason == ReasonQuiet && c.reason == ReasonClosed {
+		c.reason = reason
+	}
+}
+
+// lease takes a place at the chosen target. The caller holds the lock.
+func (b *Balancer) lease(job *Job, c *choice, now time.Time) *Lease {
+	s := b.stateOf(c.best)
 	s.ownInFlight++
 	s.health.requestSent()
-	p := b.progressOf(best.Addr)
+	p := b.progressOf(c.best.Addr)
 	if p != nil {
 		p.requestSent(now, maxEventGap(job))
 	}
-	return &Lease{Target: best, b: b, s: s, service: job.Name, progress: p, engine: job.engine(), cold: cold.Take(best, now),
-		contention: b.queueOf(job.Name).contention, class: job.Class, started: now, promptLease: b.promptSent(job, plan, best, s)}, ""
+	return &Lease{
+		Target: c.best, b: b, s: s, service: job.Name, progress: p, engine: job.engine(), cold: c.cold.Take(c.best, now),
+		contention: b.queueOf(job.Name).contention, class: job.Class, started: now, promptLease: b.promptSent(job, c.plan, c.best, s),
+	}
 }
 
 // score rates a target that has n requests in flight for one more request; the lowest score is the best. For an engine
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -5,20 +5,25 @@
 	"time"
 )
 
-// coldReturn returns the time after which a caller returns whose targets are at the limit of the requests that they may get
-// while they are cold. Places become free within a second.
+// maxColdRetryAfter bounds the retry-after time of callers whose targets are at the limit for cold targets. The limit holds for
+// any second, so that a target that has reached it may get requests again within one.
+const maxColdRetryAfter = time.Second
+
+// coldReturn returns the retry-after time of callers whose targets are at the limit for cold targets.
 func coldReturn() time.Duration {
-	return time.Duration(float64(time.Second) * (1 - retryAfterJitter*rand.Float64()))
+	return time.Duration(float64(maxColdRetryAfter) * (1 - retryAfterJitter*rand.Float64()))
 }
 
-// MaySend reports whether the request may be sent now, which is asked immediately before it is sent, each time.
+// MaySend reports whether the limit for cold targets permits sending the request now. It must be called immediately before the
+// first byte is sent, for each connection on which the request is tried.
 func (l *Lease) MaySend() bool {
-	l.held = !l.cold.MaySend(l.b.now())
-	return !l.held
+	l.atColdLimit = !l.cold.MaySend(l.b.now())
+	return !l.atColdLimit
 }
 
-// Held reports whether MaySend has refused the request, since too many others were sent to the target meanwhile.
-func (l *Lease) Held() bool { return l.held }
+// AtColdLimit reports whether MaySend has refused the request, because too many others were sent to the target since the lease
+// was taken.
+func (l *Lease) AtColdLimit() bool { return l.atColdLimit }
 
-// Cold records that the target has said that it stays cold for some time.
-func (l *Lease) Cold(d time.Duration) { l.cold.Cold(d, l.b.now()) }
+// ReportCold records that the target has stated in an answer that it stays cold for the duration.
+func (l *Lease) ReportCold(d time.Duration) { l.cold.ReportCold(d, l.b.now()) }
--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -78,8 +78,8 @@
 	return kept > 0 && free < 1+kept
 }
 
-// returningShare is the least share of the places that come free on which the prediction for returning callers relies.
-// They wait for longer than the rates of others stay the same, and give up if they are refused.
+// returningShare is the share of the places that come free that the prediction assumes for returning callers at least. They
+// may wait for longer than the present rates of more urgent requests last, and give up if they are refused.
 const returningShare = 0.1
 
 // expectedWait predicts the time until a job with n waiting requests ahead of it gets a place. The caller holds the lock.
--- a/internal/balance/contention_test.go
+++ b/internal/balance/contention_test.go
@@ -12,8 +12,8 @@
 	"github.com/camphorbank/camphorbank/internal/contention"
 )
 
-// The simulated day of a quarter of a deployment: groups whose steps stay within the event gap up to about 70 requests a
-// second, and a popularity of experts that shifts.
+// Times of the simulated load. The steps of the groups stay within the event gap up to about 70 requests per second, and the
+// popularity of experts shifts.
 const (
 	crestStart = 6 * time.Second
 	crestEnd   = 12 * time.Second
@@ -174,8 +174,8 @@
 	}
 }
 
-// TestUrgentDisplacesWaiting guards against a less urgent request that is held in the queue although more urgent ones have
-// taken its chance of a place.
+// TestUrgentDisplacesWaiting guards against a less urgent request that stays in the queue although, after the arrival of
+// more urgent ones, no place is expected to come free for it in time.
 func TestUrgentDisplacesWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New("near", time.Now)
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -19,8 +19,8 @@
 	EventLeaves    EventKind = "target-leaving" // it has said in an answer that it leaves
 	EventQuiet     EventKind = "target-quiet"   // it has asked for no requests for Backoff
 	EventAnswers   EventKind = "group-answers"  // it has sent an event after it was stalled
-	// EventContended means that requests of a service with priorities have to wait or are refused for want of places, and
-	// EventCalm that there was none for a while.
+	// EventContended means that requests of a service with priorities have to wait or are refused because places are lacking,
+	// and EventCalm that no request did or was for a while.
 	EventContended EventKind = "service-contended"
 	EventCalm      EventKind = "service-calm"
 )
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -256,8 +256,9 @@
 }
 
 // dispatchQueue gives free places to the requests of one queue in their order until no place is left. It skips requests
-// that are blocked, so that they do not delay others, and refuses those whose targets are all evacuated. While a group is closed, hundreds of callers may be blocked, and
-// each report of a peer or a group comes here, so that requests with the same demand are assessed once.
+// that are blocked, so that they do not delay others, and refuses those whose targets are all evacuated. While a group is
+// closed, hundreds of callers may be blocked, and each report of a peer or a group comes here, so that requests with the same
+// demand are assessed once.
 func (b *Balancer) dispatchQueue(q *queue) {
 	blocked := map[demand]Reason{}
 	for i := 0; i < len(q.waiting); {
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -1,5 +1,5 @@
 // Package coldstart limits the requests that this process sends to targets that are cold, or that may become cold
-// without anybody knowing.
+// without having said so.
 //
 // A target is cold for some time after its start, and may become cold again at any moment. It then fails under a load
 // that it carries when it is warm. All entries together must stay below a bound for each target in any second. Each
@@ -31,6 +31,9 @@
 	sendDelay = 50 * time.Millisecond
 	// limitedInterval is the shortest time between two events that say that targets of a service are at their limit.
 	limitedInterval = 5 * time.Second
+	// maxColdTime bounds the time for which a target counts as cold, unless its service states a longer one, so that a wrong
+	// statement of a target does not limit it for long.
+	maxColdTime = 30 * time.Second
 )
 
 // Bounds states how far the deployment lets the rate of a cold target exceed the one that the target tolerates. In any
@@ -156,7 +159,7 @@
 	}
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
-	state := r.learn(t, now)
+	state := r.observe(t, now)
 	if state.within(r, now) {
 		return true
 	}
@@ -175,13 +178,13 @@
 	}
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
-	state := r.learn(t, now)
+	state := r.observe(t, now)
 	state.count(now)
 	return &Ticket{rates: r, id: t.ID, target: state, counted: now}
 }
 
-// learn returns the state of a target, and updates it with what the target's entry says. The caller holds the lock.
-func (r Rates) learn(t *targetset.Target, now time.Time) *target {
+// observe returns the state of a target after an update with the target's entry in the list. The caller holds the lock.
+func (r Rates) observe(t *targetset.Target, now time.Time) *target {
 	state := r.service.targets[t.ID]
 	isNew := state == nil
 	if isNew {
@@ -199,10 +202,7 @@
 	return state
 }
 
-// maxColdTime bounds the time for which a target is believed to stay cold, unless its service states a longer one.
-const maxColdTime = 30 * time.Second
-
-// setCold records that a target stays cold for some time. The caller holds the lock.
+// setCold records that a target stays cold for the duration, unless it is known to stay cold for longer. The caller holds the lock.
 func (r Rates) setCold(id string, state *target, d time.Duration, now time.Time) {
 	d = min(d, max(r.coldStart, maxColdTime))
 	until := now.Add(d)
@@ -229,41 +229,41 @@
 	id      string
 	target  *target
 	counted time.Time // when the request was last counted; zero if it is not counted
-	sent    bool
+	sent    bool      // MaySend has permitted it
 }
 
 // MaySend reports whether the request may be sent now. A request that has waited for its connection, or that is sent
 // once more, is counted again and must be within the limit at that time.
-func (k *Ticket) MaySend(now time.Time) bool {
-	if k == nil {
+func (t *Ticket) MaySend(now time.Time) bool {
+	if t == nil {
 		return true
 	}
-	k.rates.limiter.mu.Lock()
-	defer k.rates.limiter.mu.Unlock()
-	if !k.sent && now.Sub(k.counted) < sendDelay {
-		k.sent = true
+	t.rates.limiter.mu.Lock()
+	defer t.rates.limiter.mu.Unlock()
+	if !t.sent && now.Sub(t.counted) < sendDelay {
+		t.sent = true
 		return true
 	}
-	if !k.sent && !k.counted.IsZero() {
-		k.target.uncount(k.counted, now)
-		k.counted = time.Time{}
+	if !t.sent && !t.counted.IsZero() {
+		t.target.uncount(t.counted, now)
+		t.counted = time.Time{}
 	}
-	if !k.target.withinWindow(k.rates.perSecond, now) {
+	if !t.target.withinWindow(t.rates.perSecond, now) {
 		return false
 	}
-	k.target.count(now)
-	k.counted, k.sent = now, true
+	t.target.count(now)
+	t.counted, t.sent = now, true
 	return true
 }
 
-// Cold records that the target has said in an answer that it stays cold for some time.
-func (k *Ticket) Cold(d time.Duration, now time.Time) {
-	if k == nil {
+// ReportCold records that the target has stated in an answer that it stays cold for the duration.
+func (t *Ticket) ReportCold(d time.Duration, now time.Time) {
+	if t == nil {
 		return
 	}
-	k.rates.limiter.mu.Lock()
-	defer k.rates.limiter.mu.Unlock()
-	k.rates.setCold(k.id, k.target, d, now)
+	t.rates.limiter.mu.Lock()
+	defer t.rates.limiter.mu.Unlock()
+	t.rates.setCold(t.id, t.target, d, now)
 }
 
 // Sweep removes the state of targets that are not listed and have got no request lately.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -106,7 +106,7 @@
 	return most
 }
 
-// TestDataCentreBackCold guards against a crest that goes to the targets of a data centre that come back cold and idle,
+// TestDataCentreBackCold guards against a peak that goes to the targets of a data centre that come back cold and idle,
 // since they look the best, and against refusals while other targets are free. Load pattern: data centre back cold.
 func TestDataCentreBackCold(t *testing.T) {
 	const perSecond = 450
@@ -164,7 +164,7 @@
 }
 
 // TestBoundHoldsWithoutSign guards against more requests in a second than a target survives that became cold without
-// anybody knowing, as the fleet changes. Each entry sends as much as it may to one target.
+// a sign, as the fleet changes. Each entry sends as much as it may to one target.
 func TestBoundHoldsWithoutSign(t *testing.T) {
 	steady := Fleet{testEntries, testEntries, 2}
 	for name, run := range map[string]func(f *fleet){
@@ -281,7 +281,7 @@
 			target := *f.targets[0]
 			c.change(&target)
 			rates := l.Rates(testService, f.targets, f.now)
-			rates.Take(&target, f.now).Cold(c.answer, f.now)
+			rates.Take(&target, f.now).ReportCold(c.answer, f.now)
 			rates.Allow(&target, f.now)
 			if cold := l.ColdTargets(f.now) > 0; cold != c.cold || c.cold != (events == 1) {
 				t.Errorf("cold: %v, want %v; %d events", cold, c.cold, events)
--- a/internal/coldstart/fleet.go
+++ b/internal/coldstart/fleet.go
@@ -30,7 +30,7 @@
 	joined     time.Time // first contact with another entry, or the start of a process without seeds; zero before it
 	size       int
 	sizeAt     time.Time // when the fleet last had this size
-	updated    time.Time
+	updated    time.Time // last call of update
 }
 
 func newFleetSize(firstStart bool, now time.Time) fleetSize {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -188,15 +188,7 @@
 	}
 	if err != nil {
 		if errors.Is(err, upstream.ErrMayNotSend) {
-			switch {
-			case !x.mayStart():
-				return resultTooLate, err
-			case x.g.Targets.IsEvacuated(lease.Target.DataCentre):
-				return resultEvacuated, err
-			case lease.Held():
-				return resultColdLimit, err
-			}
-			return resultTargetLeft, err
+			return x.mayNotSendResult(lease), err
 		}
 		if upstream.NotSent(err) {
 			if x.ctx.Err() != nil {
@@ -212,6 +204,19 @@
 	return x.handleAnswer(resp)
 }
 
+// mayNotSendResult returns the result of an attempt that was not sent because of what has changed since the target was chosen.
+func (x *exchange) mayNotSendResult(lease *balance.Lease) result {
+	switch {
+	case !x.mayStart():
+		return resultTooLate
+	case x.g.Targets.IsEvacuated(lease.Target.DataCentre):
+		return resultEvacuated
+	case lease.AtColdLimit():
+		return resultColdLimit
+	}
+	return resultTargetLeft
+}
+
 // handleAnswer evaluates the head of a target's answer, and passes the answer on if it is the caller's.
 func (x *exchange) handleAnswer(resp *upstream.Response) (result, error) {
 	a := x.g.HeaderTranslator.Answer(resp.Status, resp.Header)
@@ -315,7 +320,7 @@
 		x.lease.KeepQuiet(a.Quiet)
 	}
 	if a.Cold > 0 {
-		x.lease.Cold(a.Cold)
+		x.lease.ReportCold(a.Cold)
 	}
 }
 
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -15,15 +15,15 @@
 	statedBodyBytes = 64 << 10
 )
 
-// errNoMemory is the error of reading what the process has no memory for now.
+// errNoMemory is the error of reading more than the process has memory for at present.
 var errNoMemory = errors.New("no memory for the request")
 
-// readWithinMemory reads a body to its end, or the first most bytes of it. The length is -1 if it is not known. It takes the
+// readWithinMemory reads a body to its end, or its first limit bytes. The length is -1 if it is not known. It takes the
 // memory that the body needs from the lease before it is allocated. What was read is also returned with an error.
-func readWithinMemory(from io.Reader, length, most int64, memory *membudget.Lease) (body []byte, _ error) {
+func readWithinMemory(from io.Reader, length, limit int64, memory *membudget.Lease) (body []byte, _ error) {
 	for {
 		if len(body) == cap(body) {
-			size := int(min(nextBufferBytes(int64(cap(body)), length), most))
+			size := int(min(nextBufferBytes(int64(cap(body)), length), limit))
 			if size == cap(body) {
 				return body, nil
 			}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -37,7 +37,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 }
 
-// trackState notes on a connection that it waits for its next request.
+// trackState records when a connection waits for its next request.
 func trackState(c net.Conn, s http.ConnState) {
 	if c, ok := httpdrain.Inner(c).(*limitedConn); ok && s == http.StateIdle {
 		c.head = headMeter{}
@@ -125,7 +125,7 @@
 	return n, err
 }
 
-// requestEnded states that a request that ran has ended.
+// requestEnded records that a request that ran has ended.
 func (c *limitedConn) requestEnded() {
 	if c != nil {
 		c.slot.Done()
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -9,7 +9,7 @@
 
 // allowed returns the targets of a list that lie in the regions to which the route and the client account limit the request.
 func (x *exchange) allowed(list []*targetset.Target) []*targetset.Target {
-	if !x.isLimited() {
+	if !x.hasRegionLimit() {
 		return list
 	}
 	var out []*targetset.Target
@@ -21,8 +21,8 @@
 	return out
 }
 
-// isLimited reports whether the request may reach the data centres of some regions only.
-func (x *exchange) isLimited() bool {
+// hasRegionLimit reports whether the request may reach the data centres of some regions only.
+func (x *exchange) hasRegionLimit() bool {
 	return len(x.route.Regions) > 0 || x.account != nil && len(x.account.Regions) > 0
 }
 
@@ -46,9 +46,9 @@
 	return [][]string{x.route.Regions, x.account.Regions}
 }
 
-// regionLimit returns a text that is the same for requests with the same limits, and empty without a limit.
+// regionLimit returns the limits as a string for comparison with those of other requests. It is empty without a limit.
 func (x *exchange) regionLimit() string {
-	if !x.isLimited() {
+	if !x.hasRegionLimit() {
 		return ""
 	}
 	var limits []string
