--- a/internal/contention/contention.go
+++ b/internal/contention/contention.go
@@ -34,6 +34,12 @@
 	Tier     Tier
 }
 
+// isBehind reports whether new requests of a priority go before those of the rank: more urgent ones always, and those of the
+// same priority if the rank is not in the first tier.
+func (r Rank) isBehind(priority int) bool {
+	return priority < r.Priority || priority == r.Priority && r.Tier > TierInTime
+}
+
 // Before reports whether requests of the rank get places before those of another one.
 func (r Rank) Before(other Rank) bool {
 	if r.Priority != other.Priority {
@@ -50,7 +56,7 @@
 	Admitted  Decision = "admitted"  // got a place at once
 	Waited    Decision = "waited"    // got a place after a wait
 	Displaced Decision = "displaced" // refused while it waited, because more urgent requests arrived
-	Full      Decision = "full"      // refused because no place came free in time, or would
+	Full      Decision = "full"      // refused because no place came free, or was expected to come free, in time
 	KeptBack  Decision = "kept-back" // refused because the free places are kept for more urgent requests
 	Closed    Decision = "closed"    // refused because no target takes requests
 )
@@ -60,12 +66,12 @@
 
 // Service is the state of contention for one service in this process. It is not safe for concurrent use.
 type Service struct {
-	demand   demand
-	accounts map[int]*accounts // by priority
-	first    delay             // until the first event of an answer
-	offered  rate
-	refused  rate
-	episode  episode
+	demand     demand
+	accounts   map[int]*accounts // by priority
+	firstEvent delay             // from the start of an attempt to the first event of its answer
+	offered    rate              // of all requests
+	refused    rate
+	episode    episode
 }
 
 // NewService returns the state of a service of which nothing is known yet.
--- a/internal/contention/delay.go
+++ b/internal/contention/delay.go
@@ -35,14 +35,14 @@
 }
 
 // FirstEvent records the time from the start of an attempt to the first event of the answer.
-func (s *Service) FirstEvent(took time.Duration, now time.Time) { s.first.add(took, now) }
+func (s *Service) FirstEvent(took time.Duration, now time.Time) { s.firstEvent.add(took, now) }
 
 // WaitBudget returns the longest time for which a request may wait so that it can meet its objective.
 func (s *Service) WaitBudget(objective time.Duration, now time.Time) time.Duration {
 	share := func(f float64) time.Duration { return time.Duration(f * float64(objective)) }
-	if s.first.updated.IsZero() || now.Sub(s.first.updated) > delayMaxAge {
+	if s.firstEvent.updated.IsZero() || now.Sub(s.firstEvent.updated) > delayMaxAge {
 		return share(unknownBudgetShare)
 	}
-	answer := time.Duration((s.first.mean + cautiousDeviations*s.first.deviation) * float64(time.Second))
+	answer := time.Duration((s.firstEvent.mean + cautiousDeviations*s.firstEvent.deviation) * float64(time.Second))
 	return max(share(minBudgetShare), objective-answer)
 }
--- a/internal/contention/demand.go
+++ b/internal/contention/demand.go
@@ -9,10 +9,10 @@
 const (
 	// reportMaxAge is the age from which a peer's report is ignored.
 	reportMaxAge = 2 * time.Second
-	// keepHorizon is the time until places come free again, for which places are kept back.
+	// keepHorizon is the time for whose arrivals places are kept back. After it further places have come free.
 	keepHorizon = 100 * time.Millisecond
-	// guaranteedShare is the share of the places that a priority would have by its arrivals up to which no places are kept
-	// back from it, so that the least urgent requests are not left out altogether.
+	// guaranteedShare is a part of the places that a priority would have if they were divided by arrivals. While its requests
+	// have less than that, no places are kept back from it, so that the least urgent requests get some places.
 	guaranteedShare = 0.15
 )
 
@@ -76,8 +76,8 @@
 	maps.DeleteFunc(d.peers, func(_ string, p peerDemand) bool { return now.Sub(p.received) >= reportMaxAge })
 }
 
-// total calls f for the demand of each priority at each process. A peer without a recent report counts as having none.
-func (d *demand) total(now time.Time, f func(ClassDemand)) {
+// each calls f for the demand of each priority at each process. A peer without a recent report counts as having none.
+func (d *demand) each(now time.Time, f func(ClassDemand)) {
 	for p, c := range d.own {
 		f(ClassDemand{p, c.arrivals.perSecond(now), c.inFlight})
 	}
@@ -96,8 +96,8 @@
 func (s *Service) Kept(r Rank, now time.Time) float64 {
 	urgentPerSecond, perSecond, allPerSecond := 0.0, 0.0, 0.0
 	inFlight, all := 0, 0
-	s.demand.total(now, func(c ClassDemand) {
-		if c.Priority < r.Priority || c.Priority == r.Priority && r.Tier > TierInTime {
+	s.demand.each(now, func(c ClassDemand) {
+		if r.isBehind(c.Priority) {
 			urgentPerSecond += c.ArrivalsPerSecond
 		}
 		if c.Priority == r.Priority {
@@ -126,15 +126,15 @@
 func (s *Service) AheadPerSecond(r Rank, now time.Time) float64 {
 	sum := 0.0
 	for p, c := range s.demand.own {
-		if p < r.Priority || p == r.Priority && r.Tier > TierInTime {
+		if r.isBehind(p) {
 			sum += c.arrivals.perSecond(now)
 		}
 	}
 	return sum
 }
 
-// place returns the share of the other priorities that are more urgent than the one given.
-func (d *demand) place(priority int) float64 {
+// shareAbove returns the share of the other priorities that are more urgent than the one given, from 0 to 1.
+func (d *demand) shareAbove(priority int) float64 {
 	more, others := 0, 0
 	for p := range d.own {
 		if p < priority {
--- a/internal/contention/imbalance.go
+++ b/internal/contention/imbalance.go
@@ -2,15 +2,19 @@
 
 import "time"
 
+// Bounds of the reserve, as factors by which the most loaded rank of a group takes longer than the mean.
 const (
 	// MaxReserve is the imbalance that is allowed for while none is known, and the highest one that is allowed for.
 	MaxReserve = 2.3
 	// MinReserve is the least imbalance that is allowed for.
 	MinReserve = 1.2
-	// reserveSlots and reserveSlot give the time for which a reported imbalance is allowed for. Popularity shifts every few
+)
+
+const (
+	// reserveSlots and reserveSlotLength set the time for which a reported imbalance is allowed for. Popularity shifts every few
 	// seconds, so that the reserve covers the next shift.
-	reserveSlots = 8
-	reserveSlot  = time.Second
+	reserveSlots      = 8
+	reserveSlotLength = time.Second
 )
 
 // ImbalanceReserve is the imbalance of an engine group that admission allows for: the highest one of the last seconds.
@@ -22,7 +26,7 @@
 
 // Report records the present imbalance.
 func (r *ImbalanceReserve) Report(imbalance float64, now time.Time) {
-	slot := now.UnixNano() / int64(reserveSlot)
+	slot := now.UnixNano() / int64(reserveSlotLength)
 	if slot-r.slot >= reserveSlots {
 		clear(r.highest[:])
 		r.slot = slot - reserveSlots
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -69,8 +69,8 @@
 	return out, ok
 }
 
-// recordDemand records and reports the demand that a heartbeat states. Indexes of services mean nothing under another
-// configuration, so that such a demand is ignored.
+// recordDemand records and reports the demand that a heartbeat states. It ignores a demand under another configuration, in which
+// the indexes of services may mean others.
 func (f *Fleet) recordDemand(h Heartbeat) {
 	table := f.opt.Tables.Load()
 	encoded := h.Demand
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,7 +13,7 @@
 	Slot    time.Duration // wait for a slot and for the prompts that are processed before
 	Step    time.Duration // step of the batch that yields the token
 	Prefill time.Duration // processing of the part of the prompt that the target does not hold
-	Network time.Duration // way to the target, beyond that to the nearest one
+	Network time.Duration // network latency, beyond that to the nearest target
 }
 
 // FirstToken returns the time until the first token.
@@ -22,7 +22,7 @@
 // Speed is how fast an engine processes prompts.
 type Speed struct {
 	PerToken        time.Duration // 0 if the speed is unknown
-	PerMillionPairs time.Duration // added by each million pairs of a token and an earlier one
+	PerMillionPairs time.Duration // attention: time for each million pairs of a token and an earlier one
 }
 
 // PerSecond returns the speed of an engine that processes the number of prompt tokens per second, or an unknown one if
@@ -40,9 +40,9 @@
 	if s.PerToken <= 0 || kept >= tokens {
 		return 0
 	}
-	const tokenPairs = 1e6
+	const million = 1e6
 	pairs := (float64(tokens)*float64(tokens) - float64(kept)*float64(kept)) / 2
-	return s.PerToken*time.Duration(tokens-kept) + time.Duration(pairs/tokenPairs*float64(s.PerMillionPairs))
+	return s.PerToken*time.Duration(tokens-kept) + time.Duration(pairs/million*float64(s.PerMillionPairs))
 }
 
 // Saving returns the time that an engine saves if it holds the first tokens of a prompt.
