--- a/internal/cli/check_published.go
+++ b/internal/cli/check_published.go
@@ -32,21 +32,28 @@
 
 // checkPublished returns the findings about a published configuration, and the configuration if it can be decoded.
 func checkPublished(path string, body []byte) (finding.List, *routetable.Config, error) {
-	p, err := platform.ParsePublished(path, body)
-	var found finding.List
-	if errors.As(err, &found) {
-		return found, nil, nil
-	}
-	if err != nil {
-		return nil, nil, err
+	p, found, err := parsePublished(path, body)
+	if p == nil {
+		return found, nil, err
 	}
 	for _, problem := range configcheck.Check(&p.Config) {
 		found = append(found, p.Finding(problem))
 	}
-	_ = found.Err() // sorts them
+	_ = found.Err() // called only because it sorts the findings
 	return found, &p.Config, nil
 }
 
+// parsePublished decodes a published configuration. It returns findings, and no configuration, if that is not possible because
+// of them.
+func parsePublished(path string, body []byte) (*platform.Published, finding.List, error) {
+	p, err := platform.ParsePublished(path, body)
+	var found finding.List
+	if errors.As(err, &found) {
+		return nil, found, nil
+	}
+	return p, nil, err
+}
+
 // compareFile checks the published configuration in a file and prints how it differs from another one.
 func (t *tool) compareFile(ctx context.Context, path string, with *comparedWith, asJSON bool) error {
 	body, err := os.ReadFile(path)
@@ -88,13 +95,9 @@
 	if err != nil {
 		return nil, nil, &usageError{err}
 	}
-	p, err := platform.ParsePublished(c.file, body)
-	var found finding.List
-	if errors.As(err, &found) {
-		return nil, found, nil
-	}
-	if err != nil {
-		return nil, nil, err
+	p, found, err := parsePublished(c.file, body)
+	if p == nil {
+		return nil, found, err
 	}
 	out = configcheck.HashKeys(p.Config)
 	return &out, nil, nil
--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -56,7 +56,7 @@
 	Effect  Effect `json:"effect"`
 }
 
-// String formats the difference as KIND: SUBJECT: MESSAGE (EFFECT).
+// String formats the difference as KIND: SUBJECT: MESSAGE (takes effect EFFECT).
 func (d Difference) String() string {
 	return fmt.Sprintf("%s: %s: %s (takes effect %s)", d.Kind, d.Subject, d.Message, d.Effect)
 }
@@ -84,7 +84,7 @@
 	c.found = append(c.found, Difference{k, subject, fmt.Sprintf(format, args...), e})
 }
 
-// matching returns the routes that requests can match.
+// matching returns the routes that requests can match by host and prefix: the first one of each.
 func matching(routes []routetable.Route) map[routeKey]*routetable.Route {
 	out := map[routeKey]*routetable.Route{}
 	for i := range routes {
@@ -108,7 +108,7 @@
 	for _, k := range sortedKeys(before) {
 		old, now := before[k], after[k]
 		if now == nil {
-			c.add(RouteRemoved, old.Name, AfterDrain, "%s%s: %s", k.host, k.prefix, c.heir(k, after))
+			c.add(RouteRemoved, old.Name, AfterDrain, "%s%s: %s", k.host, k.prefix, fallback(k, after))
 			continue
 		}
 		c.compareRoute(old, now)
@@ -121,8 +121,8 @@
 	}
 }
 
-// heir states what becomes of the requests of a removed route.
-func (c *comparison) heir(removed routeKey, after map[routeKey]*routetable.Route) string {
+// fallback states which route gets the requests of a removed one.
+func fallback(removed routeKey, after map[routeKey]*routetable.Route) string {
 	var best *routetable.Route
 	for k, r := range after {
 		if k.host == removed.host && strings.HasPrefix(removed.prefix, k.prefix) && (best == nil || len(k.prefix) > len(best.Prefix)) {
@@ -198,28 +198,23 @@
 	}
 }
 
-func (c *comparison) compareServices() {
-	before, after := map[string]*routetable.Service{}, map[string]*routetable.Service{}
-	for i := range c.before.Services {
-		before[c.before.Services[i].Name] = &c.before.Services[i]
-	}
-	for i := range c.after.Services {
-		after[c.after.Services[i].Name] = &c.after.Services[i]
+func servicesByName(c *routetable.Config) map[string]*routetable.Service {
+	out := map[string]*routetable.Service{}
+	for i := range c.Services {
+		out[c.Services[i].Name] = &c.Services[i]
 	}
+	return out
+}
+
+func (c *comparison) compareServices() {
+	before, after := servicesByName(c.before), servicesByName(c.after)
 	for _, name := range slices.Sorted(maps.Keys(before)) {
 		old, now := before[name], after[name]
 		if now == nil {
 			c.add(ServiceRemoved, name, AfterDrain, "its targets get no new requests")
 			continue
 		}
-		c.compareLimit("connections to a target of service "+name, float64(old.MaxConns), float64(now.MaxConns), AtOnce, formatNumber)
-		c.compareLimit("requests a second to a cold target of service "+name, old.ColdRate, now.ColdRate, AtOnce, formatNumber)
-		if old.ColdStart != now.ColdStart {
-			c.add(ServiceChanged, name, AtOnce, "targets are cold for %v instead of %v after a start", now.ColdStart, old.ColdStart)
-		}
-		if sameEngine := old.Engine == now.Engine || old.Engine != nil && now.Engine != nil && *old.Engine == *now.Engine; !sameEngine {
-			c.add(ServiceChanged, name, AtOnce, "the description of its engines changes")
-		}
+		c.compareService(old, now)
 	}
 	for _, name := range slices.Sorted(maps.Keys(after)) {
 		if before[name] == nil {
@@ -228,6 +223,17 @@
 	}
 }
 
+func (c *comparison) compareService(old, now *routetable.Service) {
+	c.compareLimit("connections to a target of service "+now.Name, float64(old.MaxConns), float64(now.MaxConns), AtOnce, formatNumber)
+	c.compareLimit("requests a second to a cold target of service "+now.Name, old.ColdRate, now.ColdRate, AtOnce, formatNumber)
+	if old.ColdStart != now.ColdStart {
+		c.add(ServiceChanged, now.Name, AtOnce, "targets are cold for %v instead of %v after a start", now.ColdStart, old.ColdStart)
+	}
+	if sameEngine := old.Engine == now.Engine || old.Engine != nil && now.Engine != nil && *old.Engine == *now.Engine; !sameEngine {
+		c.add(ServiceChanged, now.Name, AtOnce, "the description of its engines changes")
+	}
+}
+
 func (c *comparison) compareLimits() {
 	old, now := c.before.Limits, c.after.Limits
 	c.compareLimit("header bytes of a request", float64(old.HeaderBytes), float64(now.HeaderBytes), AtOnce, formatNumber)
--- a/internal/configcheck/compareaccounts.go
+++ b/internal/configcheck/compareaccounts.go
@@ -8,10 +8,10 @@
 	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
-// accountIndex is the client accounts of a configuration by name, and the account of each hashed key.
+// accountIndex holds the client accounts of a configuration by name, and the account of each key.
 type accountIndex struct {
 	byName map[string]*routetable.Account
-	holder map[string]string
+	holder map[string]string // name of the account by hashed key
 }
 
 func indexAccounts(c *routetable.Config) accountIndex {
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -72,7 +72,7 @@
 	Section Section
 	Index   int // of the element of a list
 	Field   Field
-	Element int // of the field, if it is a list: the index of a backend or of a key
+	Element int // index of a backend or of a key, if the field is in a list of them
 }
 
 // checker collects the problems of a configuration.
--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -9,8 +9,12 @@
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
-// minTimeout is the shortest time limit of a route within which a target can answer if the connection to it opens late.
-const minTimeout = upstream.DialTimeout + 100*time.Millisecond
+const (
+	// minAnswerTime is the time that is left for the answer of a target if the connection to it opens as late as it may.
+	minAnswerTime = 100 * time.Millisecond
+	// minTimeout is the shortest time limit of a route that leaves minAnswerTime.
+	minTimeout = upstream.DialTimeout + minAnswerTime
+)
 
 // routeKey is what decides which requests a route gets.
 type routeKey struct{ host, prefix string }
