--- a/internal/adapter/peer/memory_test.go
+++ b/internal/adapter/peer/memory_test.go
@@ -23,7 +23,7 @@
 	defer c.Close()
 	const messages = 5
 	for i := range messages {
-		text := strings.Repeat("a", (i+1)%2*8*keptBufferBytes)
+		text := strings.Repeat("a", (i+1)%2*8*maxKeptBufferBytes)
 		go func() {
 			_, _ = fmt.Fprintf(c, `{"jsonrpc":"2.0","id":%d,"method":"echo","params":{"Text":%q}}`, i, text)
 		}()
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -134,12 +134,16 @@
 	}()
 }
 
-// handlingBytes returns the memory that a request needs while it is handled: its parameters as text and decoded.
+// handlingFactor is the memory that a request needs while it is handled, as a multiple of the size of its parameters: these as
+// text and decoded.
+const handlingFactor = 2
+
+// handlingBytes returns the memory that a request needs while it is handled.
 func handlingBytes(r *jsonrpc2.Request) int64 {
 	if r.Params == nil {
 		return 0
 	}
-	return 2 * int64(len(*r.Params))
+	return handlingFactor * int64(len(*r.Params))
 }
 
 // Close closes all connections and makes the server refuse new ones.
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -24,8 +24,8 @@
 	firstMessageTimeout = 10 * time.Second
 )
 
-// keptBufferBytes is the size of a message above which its buffer is not kept for the next one.
-const keptBufferBytes = 64 << 10
+// maxKeptBufferBytes is the size of a message above which its buffer is not kept for the next one.
+const maxKeptBufferBytes = 64 << 10
 
 // receivingFactor is the memory that a message needs while it is received, as a multiple of its size: the buffer of the decoder,
 // which doubles when it is full, and the message itself.
@@ -61,7 +61,7 @@
 	return s.encoder.Encode(v)
 }
 
-// limit makes the stream take the memory for its messages from a lease, and show its use of the connection in a slot.
+// limit makes the stream take the memory for its messages from a lease, and record its use of the connection in a slot.
 func (s *boundedStream) limit(slot *connlimit.Slot, memory *membudget.Lease) {
 	s.conn.slot, s.conn.memory = slot, memory
 }
@@ -89,7 +89,7 @@
 	}
 	s.readStarted = true
 	err := s.decoder.Decode(v)
-	if maxMessageBytes-s.conn.messageBytesLeft > keptBufferBytes {
+	if maxMessageBytes-s.conn.messageBytesLeft > maxKeptBufferBytes {
 		s.dropBuffer()
 	}
 	s.conn.memory.Release()
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -35,7 +35,7 @@
 const (
 	ReasonSilent  Reason = "silent"  // nothing has arrived on it
 	ReasonIdle    Reason = "idle"    // between two requests
-	ReasonSlow    Reason = "slow"    // its request is being received
+	ReasonSlow    Reason = "slow"    // its request is arriving, slower than those of others
 	ReasonNew     Reason = "new"     // its request has just begun to arrive
 	ReasonRefused Reason = "refused" // the requests of all others run
 	ReasonMemory  Reason = "memory"  // there is no memory for what has arrived
@@ -45,16 +45,16 @@
 type Limit struct {
 	// Closed is called for each connection that is closed or refused. It must not block. It may be nil.
 	Closed func(Reason)
-	// SmallBuffers gives all connections the receive buffer of crowded times.
+	// SmallBuffers gives all connections a receive buffer of crowdedBufferBytes.
 	SmallBuffers bool
 
-	max         int
-	mu          sync.Mutex
-	slots       map[*Slot]struct{}
-	crowdedTill time.Time
+	max          int
+	mu           sync.Mutex
+	slots        map[*Slot]struct{}
+	crowdedUntil time.Time
 }
 
-// New returns a limit of max connections, or none if max is 0.
+// New returns a limit of max connections. 0 means no limit.
 func New(max int) *Limit { return &Limit{max: max, slots: map[*Slot]struct{}{}} }
 
 // Slot is the place of one connection. A nil Slot has no limit.
@@ -62,7 +62,7 @@
 	limit *Limit
 	conn  net.Conn
 
-	// The rest belongs to Limit.mu.
+	// Limit.mu guards the fields below.
 	stage    stage
 	since    time.Time // of the stage
 	received int64     // bytes of the present request
@@ -94,7 +94,7 @@
 		return nil, false
 	}
 	tcpconn.OpenWindow(c)
-	if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && l.isCrowded() {
+	if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && l.needsSmallBuffer() {
 		_ = buffered.SetReadBuffer(crowdedBufferBytes)
 	}
 	return s, true
@@ -115,15 +115,16 @@
 	return s, victim, reason
 }
 
-// isCrowded reports whether many connections are open, or were a short time ago.
-func (l *Limit) isCrowded() bool {
+// needsSmallBuffer reports whether a new connection gets a small receive buffer: many connections are open, or were a short time
+// ago.
+func (l *Limit) needsSmallBuffer() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	if float64(len(l.slots)) > crowdedShare*float64(l.max) {
-		l.crowdedTill = now.Add(crowdedTime)
+		l.crowdedUntil = now.Add(crowdedTime)
 	}
-	return l.SmallBuffers || now.Before(l.crowdedTill)
+	return l.SmallBuffers || now.Before(l.crowdedUntil)
 }
 
 // Max returns the largest number of connections, or 0 for no limit.
@@ -151,12 +152,12 @@
 	}
 }
 
-// Idle states that the connection waits for a request.
+// Idle records that the connection waits for a request.
 func (s *Slot) Idle() {
 	s.update(func() { s.enter(stageIdle) })
 }
 
-// Received states that n bytes have arrived.
+// Received records that n bytes have arrived.
 func (s *Slot) Received(n int) {
 	s.update(func() {
 		if s.stage != stageReceiving {
@@ -166,7 +167,7 @@
 	})
 }
 
-// Run states that a request of the connection runs, until the same number of calls of Done. It returns false if the
+// Run records that a request of the connection has begun to run. Done must be called when it has ended. It returns false if the
 // connection is being closed, so that the request must not begin to run.
 func (s *Slot) Run() (ok bool) {
 	if s == nil {
@@ -180,7 +181,7 @@
 	return ok
 }
 
-// Done states that a request for which Run has returned true has ended.
+// Done records that a request for which Run has returned true has ended.
 func (s *Slot) Done() { s.update(func() { s.running-- }) }
 
 func (s *Slot) update(f func()) {
@@ -202,15 +203,15 @@
 			continue
 		}
 		r := s.reason(now)
-		if first == nil || order[r] < order[reason] || r == reason && s.before(first, r, now) {
+		if first == nil || closingOrder[r] < closingOrder[reason] || r == reason && s.before(first, r, now) {
 			first, reason = s, r
 		}
 	}
 	return first, reason
 }
 
-// order is the order in which connections are closed.
-var order = map[Reason]int{ReasonSilent: 0, ReasonIdle: 1, ReasonSlow: 2, ReasonNew: 3}
+// closingOrder is the position of each reason in the order in which connections are closed.
+var closingOrder = map[Reason]int{ReasonSilent: 0, ReasonIdle: 1, ReasonSlow: 2, ReasonNew: 3}
 
 // reason returns the reason for which the connection would be closed.
 func (s *Slot) reason(now time.Time) Reason {
@@ -233,5 +234,5 @@
 	return s.since.Before(other.since)
 }
 
-// rate returns the number of bytes of the present request that have arrived in a second.
+// rate returns the mean number of bytes of the present request that have arrived per second.
 func (s *Slot) rate(now time.Time) float64 { return float64(s.received) / now.Sub(s.since).Seconds() }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -2,7 +2,7 @@
 //
 // The share of an account follows the dynamic threshold of shared-memory switches (Choudhury and Hahne, 1998): an account may
 // hold as much as is free. One account alone gets half of the memory, two get a third each, and so on. What is left is for the
-// first requests of further accounts, so that a crest of large requests of one account does not keep the others out. The
+// first requests of further accounts, so that a burst of large requests of one account does not keep the others out. The
 // first bytes of each request are not counted to its account, so that small requests are served beside large ones.
 //
 // Memory of a request that is still being received is taken back if another request needs it and the first one has stalled.
@@ -20,9 +20,10 @@
 	// stallTime is the time without a byte after which a request counts as stalled. A packet that was lost twice arrives
 	// sooner.
 	stallTime = time.Second
-	// minBytesPerSecond is the rate below which a request counts as stalled. It is a fortieth of a link of 6 Mbit/s.
+	// minBytesPerSecond is the rate below which a request counts as stalled. Clients that do not hold back their bytes send
+	// many times as fast, also over slow links.
 	minBytesPerSecond = 16 << 10
-	// reclaimWait bounds the wait for memory that is taken back. Its holder only has to notice.
+	// reclaimWait bounds the wait for memory that is taken back. Its holder releases it as soon as its read fails.
 	reclaimWait = 100 * time.Millisecond
 	// smallShare is the share of the memory that each request may hold without counting to its account.
 	smallShare = 1.0 / 1024
@@ -49,16 +50,16 @@
 		receiving: map[*Lease]struct{}{}, released: make(chan struct{})}
 }
 
-// Lease is the memory that one request holds. Only Budget calls its methods from other goroutines. A nil Lease has no bound.
+// Lease is the memory that one request holds. It is safe for concurrent use. A nil Lease has no bound.
 type Lease struct {
-	budget  *Budget
-	account string
-	bytes   int64
+	budget *Budget
 
-	// The rest belongs to Budget.mu.
-	revoke    func() // ends the receiving
-	revoked   bool
-	soundTill time.Time // time until which the request has not stalled
+	// Budget.mu guards the fields below.
+	account     string
+	bytes       int64
+	revoke      func() // ends the receiving
+	revoked     bool
+	stalledFrom time.Time // time from which on the request counts as stalled, unless more bytes arrive
 }
 
 // Lease returns a lease of no bytes for a request of a client account. Release must be called at the end of the request.
@@ -99,7 +100,7 @@
 	}
 }
 
-// Receive states that the bytes of the request are being received. If the request stalls, revoke may be called once, in
+// Receive records that the bytes of the request begin to arrive. If the request stalls, revoke may be called once, in
 // another goroutine, to end that; the holder of the lease must then release it soon.
 func (l *Lease) Receive(revoke func()) {
 	if l == nil || l.budget == nil {
@@ -107,25 +108,25 @@
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	l.revoke, l.soundTill = revoke, time.Now().Add(stallTime)
+	l.revoke, l.stalledFrom = revoke, time.Now().Add(stallTime)
 	l.budget.receiving[l] = struct{}{}
 }
 
-// Received states that n bytes have arrived.
+// Received records that n bytes have arrived.
 func (l *Lease) Received(n int) {
 	if l == nil || l.budget == nil || n <= 0 {
 		return
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	till := l.soundTill.Add(time.Duration(n) * time.Second / minBytesPerSecond)
+	till := l.stalledFrom.Add(time.Duration(n) * time.Second / minBytesPerSecond)
 	if latest := time.Now().Add(stallTime); till.After(latest) {
 		till = latest
 	}
-	l.soundTill = till
+	l.stalledFrom = till
 }
 
-// Complete states that the request has been received. It returns false if the memory was taken back before.
+// Complete records that the request has been received. It returns false if the memory was taken back before.
 func (l *Lease) Complete() bool {
 	if l == nil || l.budget == nil {
 		return true
@@ -225,11 +226,11 @@
 		case l == needs:
 		case l.revoked:
 			missing -= l.bytes
-		case l.bytes > 0 && l.soundTill.Before(now):
+		case l.bytes > 0 && l.stalledFrom.Before(now):
 			stalled = append(stalled, l)
 		}
 	}
-	slices.SortFunc(stalled, func(x, y *Lease) int { return x.soundTill.Compare(y.soundTill) })
+	slices.SortFunc(stalled, func(x, y *Lease) int { return x.stalledFrom.Compare(y.stalledFrom) })
 	chosen := 0
 	for ; missing > 0 && chosen < len(stalled); chosen++ {
 		missing -= stalled[chosen].bytes
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -70,9 +70,8 @@
 	}
 }
 
-// serveMetrics serves the metrics, and the answers to operators' questions by pattern, at addr until ctx ends. It serves
-// nothing if addr is empty. A failure to listen is only logged, so that the process still accepts requests.
-func serveMetrics(ctx context.Context, addr string, conns *connlimit.Limit, questions map[string]http.HandlerFunc) {
+// serveMetrics serves the metrics, and the handlers by pattern, at addr until ctx ends. It serves nothing if addr is empty. A failure to listen is only logged, so that the process still accepts requests.
+func serveMetrics(ctx context.Context, addr string, conns *connlimit.Limit, handlers map[string]http.HandlerFunc) {
 	if addr == "" {
 		return
 	}
@@ -84,8 +83,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler())
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	for pattern, answer := range questions {
-		mux.HandleFunc(pattern, answer)
+	for pattern, handler := range handlers {
+		mux.HandleFunc(pattern, handler)
 	}
 	server := newServer(mux)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -25,7 +25,7 @@
 	// connMemoryShare is the share for callers' connections, each of which needs connBytes besides its requests.
 	connMemoryShare = 0.2
 	connBytes       = 32 << 10
-	// heapMemoryShare is the share from which on the Go runtime collects garbage at any cost in processor time.
+	// heapMemoryShare is the share of the Go heap above which the runtime collects garbage at any cost in processor time.
 	heapMemoryShare = 0.35
 )
 
@@ -113,8 +113,8 @@
 }
 
 // newConnLimit returns a limit of the connections of a listener, which counts those that it closes.
-func newConnLimit(max int, listener string) *connlimit.Limit {
-	l := connlimit.New(max)
+func newConnLimit(conns int, listener string) *connlimit.Limit {
+	l := connlimit.New(conns)
 	l.Closed = func(r connlimit.Reason) { metrics.ClosedForRoom.Add(listener+"-"+string(r), 1) }
 	return l
 }
--- a/internal/tcpconn/window.go
+++ b/internal/tcpconn/window.go
@@ -18,7 +18,7 @@
 )
 
 // ListenUntrusted listens on a TCP address for clients that are not trusted. A connection that waits to be accepted gets a small
-// receive window, as the bytes that have arrived on it count to the memory of the process. OpenWindow must be called for each
+// receive window, as the bytes that have arrived on it count toward the memory of the process. OpenWindow must be called for each
 // connection that is accepted. On a system without this option the window is that of any connection.
 func ListenUntrusted(addr string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error { return setWindow(c, waitingWindowBytes) }}
@@ -44,7 +44,7 @@
 	}
 }
 
-// setWindow limits the receive window of a socket. It ignores that the system may not know the option.
+// setWindow limits the receive window of a socket. An error is ignored, since the system may not have the option.
 func setWindow(c syscall.RawConn, bytes int) error {
 	return c.Control(func(fd uintptr) {
 		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, windowClampOption, bytes)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -135,7 +135,7 @@
 type Pool struct {
 	// Dial opens a connection to a target.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-	// MaxOpen is the number of open connections from which on an idle one is closed for each new one; 0 means no number.
+	// MaxOpen is the number of open connections from which on an idle one is closed for each new one; 0 means no limit.
 	MaxOpen int
 
 	mu    sync.Mutex
