--- a/internal/measure/figures_prompt.go
+++ b/internal/measure/figures_prompt.go
@@ -12,14 +12,14 @@
 const (
 	promptEngines         = 16
 	promptEngineSlots     = 10
-	promptEnginePrefill   = 75000
+	promptEnginePrefill   = 75000 // prompt tokens per second
 	promptEngineStep      = 5 * time.Millisecond
-	promptEngineMemory    = 120000
+	promptEngineMemory    = 120000 // prompt tokens
 	promptRequests        = 4000
-	promptArrivals        = 160 // in a second
+	promptArrivals        = 160 // per second
 	promptPrefixes        = 400
-	promptPopularity      = 1.1
-	promptOwnTokens       = 760
+	promptPopularity      = 1.1 // exponent of the Zipf distribution of the prefixes
+	promptOwnTokens       = 760 // tokens of a prompt beyond its shared prefix
 	promptDecode          = 400 * time.Millisecond
 	breakEvenGain         = 0.02 // of the mean time to the first token
 	breakEvenTrialsPerLen = 2    // with different seeds
--- a/internal/measure/prompt_placers.go
+++ b/internal/measure/prompt_placers.go
@@ -19,7 +19,7 @@
 type promptPolicy int
 
 const (
-	promptsWeighed  promptPolicy = iota // as the product does
+	promptsWeighed  promptPolicy = iota // by the predicted time to the first token, as the router and the balancer do
 	promptsIgnored                      // by load only
 	promptsFollowed                     // always to the engine that holds the longest prefix
 )
--- a/internal/measure/prompt_trial.go
+++ b/internal/measure/prompt_trial.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -36,15 +35,15 @@
 
 // promptRequest is one simulated request.
 type promptRequest struct {
-	entry     int
+	entry     int // index of the entry that received it
 	prefix    int
 	text      string
 	prompt    promptcache.Prompt
 	decode    time.Duration
 	arrivedAt time.Time
 	firstAt   time.Time
-	cached    int
-	target    int
+	cached    int // prompt tokens that its engine held
+	target    int // index of its engine
 }
 
 // promptEngine is a simulated engine.
@@ -213,7 +212,7 @@
 	}
 	best := kept[0]
 	for _, h := range kept[1:] {
-		if cmp.Compare(h.Tokens, best.Tokens) > 0 {
+		if h.Tokens > best.Tokens {
 			best = h
 		}
 	}
--- a/internal/promptcache/events.go
+++ b/internal/promptcache/events.go
@@ -7,8 +7,8 @@
 	Prefix Prefix // Tokens is not needed for an evicted prefix
 }
 
-// Observe applies cache events of an engine in their order. Events are hints that arrive late and with gaps. After a gap,
-// what is known from events alone is dropped, since the lost ones may have been evictions.
+// Observe applies cache events of an engine in their order. Events may arrive late or be lost. After a gap in their
+// sequence, what is known from events alone is dropped, since the lost ones may have been evictions.
 func (t *Tracker[E]) Observe(id E, events []Event) {
 	e := t.engineOf(id)
 	for _, ev := range events {
--- a/internal/promptcache/tracker.go
+++ b/internal/promptcache/tracker.go
@@ -102,7 +102,7 @@
 // Use is a request in flight at an engine. Ended must be called exactly once.
 type Use[E comparable] struct {
 	Kept      int // length of the longest prefix that the engine was believed to hold before the request
-	t         *Tracker[E]
+	tracker   *Tracker[E]
 	retention Retention
 	prefixes  []usedPrefix[E]
 }
@@ -118,7 +118,7 @@
 func (t *Tracker[E]) Sent(id E, state Engine, p *Prompt) *Use[E] {
 	e := t.engineOf(id)
 	e.observeShare(state.Share)
-	u := &Use[E]{t: t, retention: state.Retention, prefixes: make([]usedPrefix[E], 0, len(p.Prefixes))}
+	u := &Use[E]{tracker: t, retention: state.Retention, prefixes: make([]usedPrefix[E], 0, len(p.Prefixes))}
 	before := 0
 	for _, prefix := range p.Prefixes {
 		h := e.find(t.holders[prefix.Hash])
@@ -148,7 +148,7 @@
 		h := used.holding
 		h.inFlight--
 		if h.inFlight == 0 && (u.retention == InFlight || !run && used.first) {
-			u.t.drop(h)
+			u.tracker.drop(h)
 		}
 	}
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -60,8 +60,8 @@
 	return out
 }
 
-// classesPerPriority is the number of priorities that a route or an account can have.
-const classesPerPriority = 10
+// priorityLevels is the number of priorities that a route or an account can have. Others count as the nearest one.
+const priorityLevels = 10
 
 // Class returns the urgency of an account's requests on the route, of which 0 is the most urgent. The priority of the
 // account decides, and among those of equal priority that of the route. account may be nil.
@@ -70,8 +70,8 @@
 	if account != nil && account.Priority != nil {
 		first = *account.Priority
 	}
-	level := func(priority int) int { return min(max(0, priority), classesPerPriority-1) }
-	return level(first)*classesPerPriority + level(r.Priority)
+	level := func(priority int) int { return min(max(0, priority), priorityLevels-1) }
+	return level(first)*priorityLevels + level(r.Priority)
 }
 
 // Prioritized reports whether routes of different priorities lead to a service.
--- a/internal/routing/columns.go
+++ b/internal/routing/columns.go
@@ -60,7 +60,11 @@
 	p.exclude(i)
 	if open := t.breaker.open(); open != t.countedOpen {
 		t.countedOpen = open
-		p.open += map[bool]int{true: 1, false: -1}[open]
+		if open {
+			p.open++
+		} else {
+			p.open--
+		}
 	}
 	blockedUntil := t.blockedUntil()
 	if now < blockedUntil {
--- a/internal/routing/kept.go
+++ b/internal/routing/kept.go
@@ -54,11 +54,18 @@
 	return p.scores[h.index]-h.saving <= s.bestScore
 }
 
-// rendezvousWeight returns the weight of a target for a prefix in rendezvous hashing.
+// mixFactor1 and mixFactor2 are the multipliers of the hash in rendezvousWeight. Odd ones with irregular bits spread each bit of
+// the input over the higher bits of the weight.
+const (
+	mixFactor1 = 0x9e3779b97f4a7c15
+	mixFactor2 = 0xd6e8feb86659fd93
+)
+
+// rendezvousWeight returns the weight of a target for a prefix in rendezvous hashing, from the hashes of both.
 func rendezvousWeight(prefix, name uint64) uint64 {
-	x := (prefix ^ name) * 0x9e3779b97f4a7c15
+	x := (prefix ^ name) * mixFactor1
 	x ^= x >> 32
-	return x * 0xd6e8feb86659fd93
+	return x * mixFactor2
 }
 
 // pickNewHolder returns the target with the highest rendezvous weight for the prompt's shortest prefix of those whose
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -13,8 +13,8 @@
 	fullBatchDelay = 10 * time.Millisecond
 )
 
-// estimate returns the prediction for a target without the time for processing the prompt. The wait consists of the reported one, less the time since the report,
-// and of the router's own dispatches that the report does not include.
+// estimate returns the prediction for a target without the time for processing the prompt. The wait consists of the reported
+// one, less the time since the report, and of the wait for the router's own dispatches that the report does not include.
 func (t *target) estimate(lane int, now time.Duration) placement.Estimate {
 	e := placement.Estimate{Slot: t.pendingWait()}
 	if t.otherDataCentre {
--- a/internal/targetset/evacuation.go
+++ b/internal/targetset/evacuation.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Evacuation is the operator's request that the targets of a data centre get no requests.
+// Evacuation is the operator's order that the targets of a data centre get no requests.
 type Evacuation struct {
 	DataCentre string `json:"data_centre"`
-	Position          // of the platform's list at which it was set
+	Position          // position of the platform's list at which it was set
 }
 
 // EvacuationChange is the start or the end of an evacuation.
@@ -34,7 +34,7 @@
 const (
 	EvacuationSet   EvacuationEventKind = "evacuation-set"
 	EvacuationEnded EvacuationEventKind = "evacuation-ended" // taken back by the operator
-	// EvacuationLapsed means that the operator has not set the evacuation again after the list was restored.
+	// EvacuationLapsed means that the operator has not set the evacuation again in time after the list was restored from a copy.
 	EvacuationLapsed EvacuationEventKind = "evacuation-lapsed"
 )
 
@@ -90,8 +90,8 @@
 	return now.Before(s.eraLearned.Add(evacuationRewriteTime))
 }
 
-// applyEvacuation applies a change of an evacuation. A start up to the position of the set is contained in it, or has
-// ended by then. The caller holds the lock.
+// applyEvacuation applies a change of an evacuation. A start at or before the position of the set has no effect: the
+// set contains it, or it has ended since. The caller holds the lock.
 func (s *Set) applyEvacuation(c EvacuationChange) {
 	set, evacuated := s.evacuations[c.DataCentre]
 	switch {
@@ -109,14 +109,14 @@
 		s.evacuations[e.DataCentre] = e.Position
 	}
 	if !evacuated {
-		s.noteEvacuation(EvacuationSet, e.DataCentre)
+		s.notifyEvacuation(EvacuationSet, e.DataCentre)
 	}
 }
 
 // endEvacuation ends an evacuation. The caller holds the lock.
 func (s *Set) endEvacuation(dataCentre string, kind EvacuationEventKind) {
 	delete(s.evacuations, dataCentre)
-	s.noteEvacuation(kind, dataCentre)
+	s.notifyEvacuation(kind, dataCentre)
 }
 
 // expireEvacuations ends the evacuations that have not been set again in time after a restoration of the list, and reports
@@ -135,8 +135,8 @@
 	return expired
 }
 
-// noteEvacuation sends an event. The caller holds the lock.
-func (s *Set) noteEvacuation(kind EvacuationEventKind, dataCentre string) {
+// notifyEvacuation sends an event. The caller holds the lock.
+func (s *Set) notifyEvacuation(kind EvacuationEventKind, dataCentre string) {
 	if s.Notify == nil {
 		return
 	}
