--- a/test/harness/links.go
+++ b/test/harness/links.go
@@ -1,5 +1,5 @@
-// Package harness starts a fleet of real processes on loopback for tests and puts proxies that inject network faults
-// in front of their listeners.
+// Package harness builds the programs under test, starts a fleet of real processes on loopback, and puts proxies that inject
+// network faults in front of their listeners.
 package harness
 
 import (
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -24,7 +24,7 @@
 // stays open until the process or the end of the crowd closes it.
 type client func(c net.Conn, n int)
 
-// crowd is a number of clients that do not behave.
+// crowd is a number of misbehaving clients.
 type crowd struct {
 	addr  string
 	size  int
--- a/test/hostile/listeners_test.go
+++ b/test/hostile/listeners_test.go
@@ -13,7 +13,7 @@
 // messageBytes is just below the size that a message between processes may have.
 const messageBytes = 1000 << 10
 
-// httpClients returns clients that do not behave at a listener of HTTP whose path is served.
+// httpClients returns misbehaving clients of a listener of HTTP whose path is served.
 func httpClients(path string) client {
 	texts := []string{
 		"",
@@ -28,7 +28,7 @@
 	return func(c net.Conn, n int) { send(c, texts[n%len(texts)]) }
 }
 
-// controlClients returns clients that do not behave at a control listener.
+// controlClients returns misbehaving clients of a control listener.
 func controlClients() client {
 	open := `{"jsonrpc":"2.0","id":"1","method":"test.none","params":"`
 	texts := []string{
--- a/test/hostile/own_test.go
+++ b/test/hostile/own_test.go
@@ -60,7 +60,7 @@
 	return attempt(func(int) error { return p.sendOnce(p.metrics, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n") })
 }
 
-// ownClients returns clients that do not behave at a listener of the own interface whose path takes JSON.
+// ownClients returns misbehaving clients of a listener of the own interface whose path takes JSON.
 func ownClients(path string) client {
 	start := `{"id":{"request":"r","number":1},"kind":"draft","model":"wording","max_tokens":2,"prompt":"` + strings.Repeat("a", ownBodyBytes)
 	texts := []string{
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -24,22 +23,7 @@
 var binDir string
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "camphorbank-bin-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if err := localfleet.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	binDir = dir
-	return m.Run()
+	os.Exit(harness.RunWithPrograms(m, &binDir))
 }
 
 // newFleet starts the platform stand-in with the example configuration. After the test it stops all processes and fails
