--- a/internal/balance/contention_sim_test.go
+++ b/internal/balance/contention_sim_test.go
@@ -33,7 +33,7 @@
 }
 
 // tally counts the requests of a class, by the second in which they arrived.
-type tally struct{ arrived, inTime, late, lost int }
+type tally struct{ arrived, inTime, late, lost int } // lost requests were refused twice
 
 // simulation runs a load with real balancers over a model of engine groups.
 type simulation struct {
@@ -64,8 +64,8 @@
 // simStream is a request that an engine runs.
 type simStream struct {
 	lease    *Lease
-	events   int // left
-	reading  int // steps until the first event
+	events   int // number of events that are left
+	reading  int // steps in which the prompt is processed, before the first event
 	started  bool
 	arrived  time.Time
 	last     time.Time
@@ -75,13 +75,13 @@
 }
 
 const (
-	simTick       = 10 * time.Millisecond
-	simHeartbeat  = 200 * time.Millisecond
+	simTick       = 10 * time.Millisecond  // time between two calls of load.disturb
+	simHeartbeat  = 200 * time.Millisecond // time between two exchanges of the entries
 	simReportLag  = 100 * time.Millisecond
 	simEventGap   = 120 * time.Millisecond
-	simTimeLimit  = 8 * time.Second
+	simTimeLimit  = 8 * time.Second // of one caller, over both attempts
 	simPrefill    = 2 * time.Millisecond
-	simMeanEvents = 23
+	simMeanEvents = 23 // of one answer
 )
 
 var simEngine = &routetable.Engine{
@@ -89,7 +89,7 @@
 	Experts: routetable.Experts{Share: 0.85},
 }
 
-// run simulates the load and returns the tallies by priority and second.
+// run simulates the load and returns the simulation with its tallies.
 func (l load) run(t *testing.T, seed uint64) *simulation {
 	s := &simulation{load: l, seed: seed, tallies: map[int][]tally{}, accounts: map[string]*tally{},
 		service: &routetable.Service{Name: "m", Engine: simEngine}}
