--- a/internal/balance/contention_sim_test.go
+++ b/internal/balance/contention_sim_test.go
@@ -77,7 +77,6 @@
 const (
 	simTick       = 10 * time.Millisecond  // time between two calls of load.disturb
 	simHeartbeat  = 200 * time.Millisecond // time between two exchanges of the entries
-	simReportLag  = 100 * time.Millisecond
 	simEventGap   = 120 * time.Millisecond
 	simTimeLimit  = 8 * time.Second // of one caller, over both attempts
 	simPrefill    = 2 * time.Millisecond
