--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -169,7 +169,7 @@
 	case ReasonClosed:
 		r.RetryAfter = min(r.RetryAfter, time.Duration(float64(GroupReformTime)*(1-retryAfterJitter*b.Random())))
 	case ReasonCold:
-		r.RetryAfter = min(r.RetryAfter, b.coldReturn())
+		r.RetryAfter = min(r.RetryAfter, b.coldRetryAfter())
 	case ReasonQuiet:
 		r.RetryAfter = min(r.RetryAfter, b.quietRetryAfter(quiet))
 	}
@@ -273,8 +273,9 @@
 }
 
 // dispatchQueue gives free places to the requests of one queue in their order until no place is left. It skips requests
-// that are blocked, so that they do not delay others, and refuses those whose targets are all evacuated. While a group is closed, hundreds of callers may be blocked, and
-// each report of a peer or a group comes here, so that requests with the same demand are assessed once.
+// that are blocked, so that they do not delay others, and refuses those whose targets are all evacuated. While a group is
+// closed, hundreds of callers may be blocked, and each report of a peer or a group comes here, so that requests with the same
+// demand are assessed once.
 func (b *Balancer) dispatchQueue(q *queue) {
 	blocked := map[demand]Reason{}
 	for i := 0; i < len(q.waiting); {
