contention: the reserve for imbalance knows the time, and classes are named so

After a lull or a freeze the last reserve, down to 1.2, held until the next report; without a report for a second the highest one is allowed for again (found by review, with a test). What the package called a priority is a class of urgency.

--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -10,7 +10,7 @@
 
 // request returns what package contention needs to know about a job.
 func (j *Job) request() contention.Request {
-	return contention.Request{Priority: j.Class, Account: j.Account, Returning: j.Returning}
+	return contention.Request{Class: j.Class, Account: j.Account, Returning: j.Returning}
 }
 
 // rank determines the rank of a job that arrives, and for a service with priorities the longest time that it may wait.
@@ -19,7 +19,7 @@
 func (b *Balancer) rank(q *queue, job *Job) {
 	if !job.Prioritized {
 		q.contention = nil
-		job.rank = contention.Rank{Priority: job.Priority}
+		job.rank = contention.Rank{Class: job.Priority}
 		if !job.Returning {
 			job.rank.Tier++
 		}
@@ -149,7 +149,7 @@
 		return current, reserved
 	}
 	if p := b.progress[g.report.Name]; p != nil && g.report.Imbalance > 0 {
-		reserved = max(current, p.reserve.Value())
+		reserved = max(current, p.reserve.Value(b.now()))
 	}
 	return current, reserved
 }
--- a/internal/contention/accounts.go
+++ b/internal/contention/accounts.go
@@ -17,7 +17,7 @@
 	fullyAdmittedShare = 0.97
 )
 
-// accounts measures the requests of the client accounts of one priority.
+// accounts measures the requests of the client accounts of one class.
 type accounts struct {
 	byName   map[string]*accountRates
 	share    float64   // max-min fair share in requests per second
--- a/internal/contention/contention.go
+++ b/internal/contention/contention.go
@@ -1,7 +1,7 @@
 // Package contention decides who is served first when a service whose callers differ in priority has fewer places than
 // they ask for.
 //
-// More urgent requests go first. Within a priority, those that can still meet their latency objective go before those of
+// More urgent requests go first. Within a class, those that can still meet their latency objective go before those of
 // client accounts that exceed their fair share, and both before callers that return after a refusal, which have missed
 // the objective. Places are kept back for the more urgent requests that are expected until the next places come free.
 //
@@ -13,12 +13,12 @@
 
 // Request is what the decisions about a request depend on.
 type Request struct {
-	Priority  int    // 0 is the most urgent
+	Class     int    // class of urgency by the priorities of account and route; 0 is the most urgent
 	Account   string // client account; empty if there is none
 	Returning bool   // the caller was refused before and gives up if it is refused again
 }
 
-// Tier orders the requests of one priority. Lower tiers go first.
+// Tier orders the requests of one class. Lower tiers go first.
 type Tier int
 
 // Tiers of requests.
@@ -30,20 +30,20 @@
 
 // Rank is the position of a request in the order in which requests get places.
 type Rank struct {
-	Priority int
-	Tier     Tier
+	Class int
+	Tier  Tier
 }
 
-// isBehind reports whether new requests of a priority go before those of the rank: more urgent ones always, and those of the
-// same priority if the rank is not in the first tier.
-func (r Rank) isBehind(priority int) bool {
-	return priority < r.Priority || priority == r.Priority && r.Tier > TierInTime
+// isBehind reports whether new requests of a class go before those of the rank: more urgent ones always, and those of the
+// same class if the rank is not in the first tier.
+func (r Rank) isBehind(class int) bool {
+	return class < r.Class || class == r.Class && r.Tier > TierInTime
 }
 
 // Before reports whether requests of the rank get places before those of another one.
 func (r Rank) Before(other Rank) bool {
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
+	if r.Class != other.Class {
+		return r.Class < other.Class
 	}
 	return r.Tier < other.Tier
 }
@@ -67,7 +67,7 @@
 // Service is the state of contention for one service in this process. It is not safe for concurrent use.
 type Service struct {
 	demand     demand
-	accounts   map[int]*accounts // by priority
+	accounts   map[int]*accounts // by class
 	firstEvent delay             // from the start of an attempt to the first event of its answer
 	offered    rate              // of all requests
 	refused    rate
@@ -81,20 +81,20 @@
 
 // Arrived records the arrival of a request.
 func (s *Service) Arrived(r Request, now time.Time) {
-	s.demand.arrived(r.Priority, now)
+	s.demand.arrived(r.Class, now)
 	s.offered.add(now)
-	s.accountsOf(r.Priority).offered(r.Account, now)
+	s.accountsOf(r.Class).offered(r.Account, now)
 }
 
 // Rank returns the rank of a request.
 func (s *Service) Rank(r Request, now time.Time) Rank {
 	switch {
 	case r.Returning:
-		return Rank{r.Priority, TierReturning}
-	case s.episode.active && s.accountsOf(r.Priority).overShare(r.Account, now):
-		return Rank{r.Priority, TierOverShare}
+		return Rank{r.Class, TierReturning}
+	case s.episode.active && s.accountsOf(r.Class).overShare(r.Account, now):
+		return Rank{r.Class, TierOverShare}
 	}
-	return Rank{r.Priority, TierInTime}
+	return Rank{r.Class, TierInTime}
 }
 
 // Decided records the decision about a request and reports whether contention begins with it.
@@ -102,20 +102,20 @@
 	if d.isRefusal() {
 		s.refused.add(now)
 	} else {
-		s.demand.started(r.Priority)
-		s.accountsOf(r.Priority).admitted(r.Account, now)
+		s.demand.started(r.Class)
+		s.accountsOf(r.Class).admitted(r.Account, now)
 	}
 	return s.episode.decided(d, now)
 }
 
 // Done records the end of a request that had a place.
-func (s *Service) Done(priority int) { s.demand.done(priority) }
+func (s *Service) Done(class int) { s.demand.done(class) }
 
-func (s *Service) accountsOf(priority int) *accounts {
-	a := s.accounts[priority]
+func (s *Service) accountsOf(class int) *accounts {
+	a := s.accounts[class]
 	if a == nil {
 		a = newAccounts()
-		s.accounts[priority] = a
+		s.accounts[class] = a
 	}
 	return a
 }
--- a/internal/contention/contention_test.go
+++ b/internal/contention/contention_test.go
@@ -38,13 +38,13 @@
 }
 
 // TestKeptPlaces guards against places that are kept for less urgent requests, for peers that were not heard lately, or
-// from a priority that has next to no places.
+// from a class that has next to no places.
 func TestKeptPlaces(t *testing.T) {
 	s, c := NewService(), newTestClock()
 	if k := s.Kept(Rank{2, TierInTime}, c.now); k != 0 {
 		t.Errorf("%.1f places kept before any request", k)
 	}
-	arrive(s, c, Request{Priority: 0}, 100, 5*time.Second)
+	arrive(s, c, Request{Class: 0}, 100, 5*time.Second)
 	s.SetPeer("p", []ClassDemand{{0, 200, 90}, {2, 50, 10}}, c.now)
 	want := 300 * keepHorizon.Seconds()
 	if k := s.Kept(Rank{2, TierInTime}, c.now); math.Abs(k-want) > 2 {
@@ -93,27 +93,33 @@
 // reserve that forgets a shift of popularity before the next one.
 func TestImbalanceReserve(t *testing.T) {
 	r, c := ImbalanceReserve{}, newTestClock()
-	if v := r.Value(); v != MaxReserve {
+	if v := r.Value(c.now); v != MaxReserve {
 		t.Errorf("reserve %.2f without a report", v)
 	}
 	for range 100 {
 		r.Report(1.1, c.advance(200*time.Millisecond))
 	}
-	if v := r.Value(); v > MinReserve+0.05 {
+	if v := r.Value(c.now); v > MinReserve+0.05 {
 		t.Errorf("reserve %.2f after 20 s of balance", v)
 	}
 	r.Report(1.9, c.advance(200*time.Millisecond))
-	if v := r.Value(); v != 1.9 {
+	if v := r.Value(c.now); v != 1.9 {
 		t.Errorf("reserve %.2f at an imbalance of 1.9", v)
 	}
 	r.Report(1.1, c.advance(3*time.Second))
-	if v := r.Value(); v < 1.4 {
+	if v := r.Value(c.now); v < 1.4 {
 		t.Errorf("reserve %.2f, 3 s after an imbalance of 1.9", v)
 	}
 	r.Report(9, c.advance(time.Second))
-	if v := r.Value(); v != MaxReserve {
+	if v := r.Value(c.now); v != MaxReserve {
 		t.Errorf("reserve %.2f at an imbalance of 9", v)
 	}
+	for range 100 {
+		r.Report(1.1, c.advance(200*time.Millisecond))
+	}
+	if v := r.Value(c.advance(2 * reserveSlotLength)); v != MaxReserve {
+		t.Errorf("reserve %.2f, 2 s after the last report", v)
+	}
 }
 
 // TestRetryAfter guards against less urgent callers that return before more urgent ones, and against times that callers
@@ -121,11 +127,11 @@
 func TestRetryAfter(t *testing.T) {
 	s, c := NewService(), newTestClock()
 	for p := range 3 {
-		arrive(s, c, Request{Priority: p}, 50, time.Second)
+		arrive(s, c, Request{Class: p}, 50, time.Second)
 	}
 	latest := 2600 * time.Millisecond
 	times := func(p int) (first, last time.Duration) {
-		return s.RetryAfter(Request{Priority: p}, latest, 0, c.now), s.RetryAfter(Request{Priority: p}, latest, 1, c.now)
+		return s.RetryAfter(Request{Class: p}, latest, 0, c.now), s.RetryAfter(Request{Class: p}, latest, 1, c.now)
 	}
 	for p := range 2 {
 		first, last := times(p)
--- a/internal/contention/demand.go
+++ b/internal/contention/demand.go
@@ -11,19 +11,19 @@
 	reportMaxAge = 2 * time.Second
 	// keepHorizon is the time for whose arrivals places are kept back. After it further places have come free.
 	keepHorizon = 100 * time.Millisecond
-	// guaranteedShare is a part of the places that a priority would have if they were divided by arrivals. While its requests
+	// guaranteedShare is a part of the places that a class would have if they were divided by arrivals. While its requests
 	// have less than that, no places are kept back from it, so that the least urgent requests get some places.
 	guaranteedShare = 0.15
 )
 
-// ClassDemand is the demand of the requests of one priority.
+// ClassDemand is the demand of the requests of one class.
 type ClassDemand struct {
-	Priority          int
+	Class             int
 	ArrivalsPerSecond float64
 	InFlight          int
 }
 
-// demand is the demand of a service by priority, at this process and at its peers.
+// demand is the demand of a service by class, at this process and at its peers.
 type demand struct {
 	own   map[int]*ownDemand
 	peers map[string]peerDemand // by process
@@ -43,25 +43,25 @@
 	return demand{own: map[int]*ownDemand{}, peers: map[string]peerDemand{}}
 }
 
-func (d *demand) class(priority int) *ownDemand {
-	c := d.own[priority]
+func (d *demand) class(class int) *ownDemand {
+	c := d.own[class]
 	if c == nil {
 		c = &ownDemand{}
-		d.own[priority] = c
+		d.own[class] = c
 	}
 	return c
 }
 
-func (d *demand) arrived(priority int, now time.Time) { d.class(priority).arrivals.add(now) }
-func (d *demand) started(priority int)                { d.class(priority).inFlight++ }
-func (d *demand) done(priority int)                   { d.class(priority).inFlight-- }
+func (d *demand) arrived(class int, now time.Time) { d.class(class).arrivals.add(now) }
+func (d *demand) started(class int)                { d.class(class).inFlight++ }
+func (d *demand) done(class int)                   { d.class(class).inFlight-- }
 
 // SetPeer records the demand at a peer, which replaces its earlier one.
 func (s *Service) SetPeer(process string, classes []ClassDemand, now time.Time) {
 	s.demand.peers[process] = peerDemand{classes, now}
 }
 
-// Own returns the demand at this process, by priority.
+// Own returns the demand at this process, by class.
 func (s *Service) Own(now time.Time) []ClassDemand {
 	var out []ClassDemand
 	for _, p := range slices.Sorted(maps.Keys(s.demand.own)) {
@@ -76,7 +76,7 @@
 	maps.DeleteFunc(d.peers, func(_ string, p peerDemand) bool { return now.Sub(p.received) >= reportMaxAge })
 }
 
-// each calls f for the demand of each priority at each process. A peer without a recent report counts as having none.
+// each calls f for the demand of each class at each process. A peer without a recent report counts as having none.
 func (d *demand) each(now time.Time, f func(ClassDemand)) {
 	for p, c := range d.own {
 		f(ClassDemand{p, c.arrivals.perSecond(now), c.inFlight})
@@ -97,10 +97,10 @@
 	urgentPerSecond, perSecond, allPerSecond := 0.0, 0.0, 0.0
 	inFlight, all := 0, 0
 	s.demand.each(now, func(c ClassDemand) {
-		if r.isBehind(c.Priority) {
+		if r.isBehind(c.Class) {
 			urgentPerSecond += c.ArrivalsPerSecond
 		}
-		if c.Priority == r.Priority {
+		if c.Class == r.Class {
 			perSecond += c.ArrivalsPerSecond
 			inFlight += c.InFlight
 		}
@@ -113,7 +113,7 @@
 	return urgentPerSecond * keepHorizon.Seconds()
 }
 
-// KeptFromLeast returns the number of places that requests of the least urgent priority must leave free.
+// KeptFromLeast returns the number of places that requests of the least urgent class must leave free.
 func (s *Service) KeptFromLeast(now time.Time) float64 {
 	least := 0
 	for p := range s.demand.own {
@@ -133,14 +133,14 @@
 	return sum
 }
 
-// shareAbove returns the share of the other priorities that are more urgent than the one given, from 0 to 1.
-func (d *demand) shareAbove(priority int) float64 {
+// shareAbove returns the share of the other classes that are more urgent than the one given, from 0 to 1.
+func (d *demand) shareAbove(class int) float64 {
 	more, others := 0, 0
 	for p := range d.own {
-		if p < priority {
+		if p < class {
 			more++
 		}
-		if p != priority {
+		if p != class {
 			others++
 		}
 	}
--- a/internal/contention/imbalance.go
+++ b/internal/contention/imbalance.go
@@ -26,7 +26,7 @@
 
 // Report records the present imbalance.
 func (r *ImbalanceReserve) Report(imbalance float64, now time.Time) {
-	slot := now.UnixNano() / int64(reserveSlotLength)
+	slot := slotOf(now)
 	if slot-r.slot >= reserveSlots {
 		clear(r.highest[:])
 		r.slot = slot - reserveSlots
@@ -36,11 +36,16 @@
 		r.highest[r.slot%reserveSlots] = 0
 	}
 	h := &r.highest[slot%reserveSlots]
-	*h = max(*h, imbalance)
+	*h = max(*h, imbalance, MinReserve)
 }
 
+func slotOf(t time.Time) int64 { return t.UnixNano() / int64(reserveSlotLength) }
+
 // Value returns the imbalance to allow for.
-func (r *ImbalanceReserve) Value() float64 {
+func (r *ImbalanceReserve) Value(now time.Time) float64 {
+	if slotOf(now) > r.slot+1 {
+		return MaxReserve // no report in the whole slot before the present one
+	}
 	most := 0.0
 	for _, h := range r.highest {
 		if h == 0 {
@@ -48,5 +53,5 @@
 		}
 		most = max(most, h)
 	}
-	return min(MaxReserve, max(MinReserve, most))
+	return min(MaxReserve, most)
 }
--- a/internal/contention/retryafter.go
+++ b/internal/contention/retryafter.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// earliestReturn is the share of the longest retry-after time at which refused callers of the most urgent priority
+	// earliestReturn is the share of the longest retry-after time at which refused callers of the most urgent class
 	// begin to return, and earliestReturnLeastUrgent is that of the least urgent one.
 	earliestReturn            = 0.25
 	earliestReturnLeastUrgent = 0.6
@@ -16,7 +16,7 @@
 // RetryAfter returns the time after which a refused caller should return. latest is the longest time that the caller
 // honours, and random is a random number from 0 to 1.
 func (s *Service) RetryAfter(r Request, latest time.Duration, random float64, now time.Time) time.Duration {
-	earliest := earliestReturn + (earliestReturnLeastUrgent-earliestReturn)*s.demand.shareAbove(r.Priority)
+	earliest := earliestReturn + (earliestReturnLeastUrgent-earliestReturn)*s.demand.shareAbove(r.Class)
 	spread := (1 - earliest) * min(1, minReturnSpread+(1-minReturnSpread)*s.overload(now)/severeOverload)
 	return time.Duration(float64(latest) * (earliest + spread*random))
 }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -18,7 +18,7 @@
 const maxEncodedRate = 1 << 30
 
 // encodeDemand returns a demand as variable-length integers: for each service its index in the configuration and the
-// number of its priorities, and for each priority its number, its rate of arrivals and its requests in flight. It returns
+// number of its classes, and for each class its number, its rate of arrivals and its requests in flight. It returns
 // nil for no demand.
 func encodeDemand(table *routetable.Table, demand Demand) []byte {
 	if table == nil || len(demand) == 0 {
@@ -33,7 +33,7 @@
 		out = binary.AppendUvarint(out, uint64(i))
 		out = binary.AppendUvarint(out, uint64(len(classes)))
 		for _, c := range classes {
-			out = binary.AppendUvarint(out, uint64(max(0, c.Priority)))
+			out = binary.AppendUvarint(out, uint64(max(0, c.Class)))
 			out = binary.AppendUvarint(out, uint64(math.Round(max(0, c.ArrivalsPerSecond)*rateUnitsPerSecond)))
 			out = binary.AppendUvarint(out, uint64(max(0, c.InFlight)))
 		}
@@ -58,7 +58,7 @@
 	for ok && len(encoded) > 0 {
 		service, classes := next(uint64(len(services)-1)), next(uint64(len(encoded)))
 		for i := 0; i < classes && ok; i++ {
-			c := contention.ClassDemand{Priority: next(math.MaxInt32)}
+			c := contention.ClassDemand{Class: next(math.MaxInt32)}
 			c.ArrivalsPerSecond = float64(next(maxEncodedRate)) / rateUnitsPerSecond
 			c.InFlight = next(math.MaxInt32)
 			if name := services[service].Name; ok {
@@ -123,7 +123,7 @@
 
 func addClass(classes []contention.ClassDemand, c contention.ClassDemand) []contention.ClassDemand {
 	for i := range classes {
-		if classes[i].Priority == c.Priority {
+		if classes[i].Class == c.Class {
 			classes[i].ArrivalsPerSecond += c.ArrivalsPerSecond
 			classes[i].InFlight += c.InFlight
 			return classes
--- a/internal/fleet/demand_test.go
+++ b/internal/fleet/demand_test.go
@@ -12,7 +12,7 @@
 // against a process that fails on malformed bytes.
 func TestDemandEncoding(t *testing.T) {
 	table := routetable.Compile(routetable.Config{Services: []routetable.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}})
-	want := Demand{"b": {{Priority: 0, ArrivalsPerSecond: 8.2, InFlight: 300}, {Priority: 2, ArrivalsPerSecond: 0, InFlight: 1}}, "c": {{Priority: 1, ArrivalsPerSecond: 1000}}}
+	want := Demand{"b": {{Class: 0, ArrivalsPerSecond: 8.2, InFlight: 300}, {Class: 2, ArrivalsPerSecond: 0, InFlight: 1}}, "c": {{Class: 1, ArrivalsPerSecond: 1000}}}
 	encoded := encodeDemand(table, want)
 	got, ok := decodeDemand(table, encoded)
 	if !ok || !reflect.DeepEqual(got, want) {
@@ -41,7 +41,7 @@
 	tables.Offer(routetable.Config{Version: 2, Services: []routetable.Service{{Name: "a"}}})
 	var reported []Demand
 	f := New(Options{Tables: tables, ReportDemand: func(_ string, d Demand) { reported = append(reported, d) }})
-	encoded := encodeDemand(tables.Load(), Demand{"a": []contention.ClassDemand{{Priority: 1, InFlight: 4}}})
+	encoded := encodeDemand(tables.Load(), Demand{"a": []contention.ClassDemand{{Class: 1, InFlight: 4}}})
 	for _, version := range []int64{1, 2, 3} {
 		f.recordDemand(Heartbeat{Config: version, Demand: encoded})
 	}
