gateway: a connection keeps its place until the answer has been written

Cause: the run of a connection's slot ended with the handler, but net/http writes the last kilobytes of the answer, the whole of a small one, after that. Until the connection became idle it counted as receiving, with a low rate, and was the first to be closed when the places were full. Change: the run ends when the server reports the connection as idle; the end of a connection frees its slot as before. Result: TestPlaceIsKeptUntilAnswerIsWritten failed before (another connection was admitted before StateIdle) and passes now.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -69,7 +69,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	if x.admit() && x.keepConnection() {
-		defer x.conn.requestEnded()
 		x.run()
 	}
 }
@@ -81,7 +80,7 @@
 		x.refuseStalled()
 		return false
 	}
-	if x.conn != nil && !x.conn.slot.Run() {
+	if x.conn != nil && !x.conn.startRun() {
 		x.record.setOutcome(OutcomeLeft, ReasonClosed)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -37,11 +37,10 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 }
 
-// trackState notes on a connection that it waits for its next request.
+// trackState notes on a connection that its answer has been written and that it waits for its next request.
 func trackState(c net.Conn, s http.ConnState) {
 	if c, ok := httpdrain.Inner(c).(*limitedConn); ok && s == http.StateIdle {
-		c.head = headMeter{}
-		c.slot.Idle()
+		c.awaitRequest()
 	}
 }
 
@@ -100,6 +99,7 @@
 	slot    *connlimit.Slot
 	memory  *membudget.Lease // of the present request
 	head    headMeter        // of the present request
+	running bool             // the present request runs, or its answer is being written; for the server's goroutine only
 	expired atomic.Bool      // the memory was taken back
 }
 
@@ -125,11 +125,20 @@
 	return n, err
 }
 
-// requestEnded states that a request that ran has ended.
-func (c *limitedConn) requestEnded() {
-	if c != nil {
+// startRun states that the request runs until its answer has been written. It returns false if the connection is being closed.
+func (c *limitedConn) startRun() bool {
+	c.running = c.slot.Run()
+	return c.running
+}
+
+// awaitRequest states that the answer of a request has been written and that the next request may arrive.
+func (c *limitedConn) awaitRequest() {
+	if c.running {
+		c.running = false
 		c.slot.Done()
 	}
+	c.head = headMeter{}
+	c.slot.Idle()
 }
 
 // expire ends the reading of the present request, since its memory is taken back.
