gateway: heads are metered wholly and bodies are not metered as heads

Cause: an empty line at the start ended the meter of a head. net/http skips such a line after a POST, and it is the end of a head whose other lines were read together with the request before, so that a head, or the one after it, arrived uncharged. In the other direction, the body after a head that was read ahead was metered as a head, and a byte read while a request ran could put its memory back among those that may be taken back. Change: the meter ends at an empty line only after one that is not empty. Bytes are metered until the handler begins. It also states that the request is being received, since no byte of a head that was read ahead does so. A lock guards this state, as net/http may read the first byte of the next request while the handler begins. Left: a head that was read ahead, 4 KB at most, is still not charged.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -57,6 +57,7 @@
 	x.record = Record{ID: x.call.ID, Started: time.Now()}
 	if x.conn = connOf(r); x.conn != nil {
 		x.memory = x.conn.memory
+		x.conn.headArrived()
 	}
 	defer func() {
 		x.memory.Release()
--- a/internal/gateway/headmeter.go
+++ b/internal/gateway/headmeter.go
@@ -8,7 +8,8 @@
 type headMeter struct {
 	begun  bool // memory was taken
 	ended  bool
-	length int // of the present line, without its end
+	lines  bool // a line that is not empty has arrived; empty ones before it do not end the head
+	length int  // of the present line, without its end
 }
 
 // add takes the next bytes of a request and returns the memory that those of its head need.
@@ -21,7 +22,8 @@
 		switch b {
 		case '\r':
 		case '\n':
-			m.ended = m.length == 0
+			m.ended = m.length == 0 && m.lines
+			m.lines = m.lines || m.length > 0
 			m.length = 0
 			cost += headerFieldBytes
 		default:
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -98,9 +99,12 @@
 	limits  func() routetable.Limits
 	slot    *connlimit.Slot
 	memory  *membudget.Lease // of the present request
-	head    headMeter        // of the present request
 	running bool             // the present request runs, or its answer is being written; for the server's goroutine only
 	expired atomic.Bool      // the memory was taken back
+
+	headMu   sync.Mutex // guards the rest; net/http may read while the handler begins
+	head     headMeter  // of the present request
+	headRead bool       // the head of the present request has arrived; what follows is no part of it
 }
 
 // Read reads from the connection. It fails if there is no memory for the head of a request, after which the server closes the
@@ -111,20 +115,46 @@
 		return n, err
 	}
 	c.slot.Received(n)
-	if cost := c.head.add(p[:n]); cost > 0 {
-		if !c.head.begun {
-			c.head.begun = true
-			c.memory.Receive(c.expire)
-		}
-		if !c.memory.Grow(cost) {
-			c.slot.NoMemory()
-			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
-		}
+	if !c.takeHeadMemory(p[:n]) {
+		c.slot.NoMemory()
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
 	}
 	c.memory.Received(n)
 	return n, err
 }
 
+// takeHeadMemory takes the memory that the head of a request needs for bytes that have arrived. It returns false without it.
+func (c *limitedConn) takeHeadMemory(p []byte) bool {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if c.headRead {
+		return true
+	}
+	cost := c.head.add(p)
+	if cost == 0 {
+		return true
+	}
+	c.receive()
+	return c.memory.Grow(cost)
+}
+
+// receive states that the present request is being received, so that its memory may be taken back. The caller
+// holds the lock.
+func (c *limitedConn) receive() {
+	if !c.head.begun {
+		c.head.begun = true
+		c.memory.Receive(c.expire)
+	}
+}
+
+// headArrived states that the head of a request has arrived. It may have been read together with the request before.
+func (c *limitedConn) headArrived() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.headRead = true
+	c.receive()
+}
+
 // startRun states that the request runs until its answer has been written. It returns false if the connection is being closed.
 func (c *limitedConn) startRun() bool {
 	c.running = c.slot.Run()
@@ -137,8 +167,10 @@
 		c.running = false
 		c.slot.Done()
 	}
-	c.head = headMeter{}
 	c.slot.Idle()
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head, c.headRead = headMeter{}, false
 }
 
 // expire ends the reading of the present request, since its memory is taken back.
