gateway: a revoked reading stays ended

Cause: setBodyDeadline set the deadline of the connection without regard to expire, and SetReadDeadline looked before it set it. Either could replace the past deadline, so that a stalled body whose memory was taken back was read on and kept it. Change: setReadDeadline sets the deadline, and the past one again if the memory has been taken back meanwhile. Result: TestRevokedReadingStaysEnded failed in 9 of its 12 cases before and passes now, 5 times with -race.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -64,7 +64,7 @@
 	if c == nil {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.setReadDeadline(t)
 }
 
 // Listener accepts callers' connections and applies limits to them.
@@ -189,11 +189,8 @@
 // SetReadDeadline sets the deadline, or the limit of the configuration if that is earlier. The server sets a deadline
 // further away than HeaderTimeout only for an idle connection.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
-	if c.expired.Load() {
-		return c.Conn.SetReadDeadline(time.Unix(1, 0))
-	}
 	if t.IsZero() {
-		return c.Conn.SetReadDeadline(t)
+		return c.setReadDeadline(t)
 	}
 	limits, now := c.limits(), time.Now()
 	limit := limits.HeaderTimeout
@@ -203,7 +200,16 @@
 	if limit > 0 && t.After(now.Add(limit)) {
 		t = now.Add(limit)
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline sets the deadline, unless expire has ended the reading or does so meanwhile.
+func (c *limitedConn) setReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.expired.Load() {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
 }
 
 // resetOnClose sets whether the connection is reset when it is closed, whoever closes it, also the system after the end of
