configcheck: compare the regions of routes and client accounts

Cause: check -against and -in-force told nothing when the allowed regions of a route or an account changed, and called a limit of 0 unlimited, although an entry applies its default then. Change: both are compared without regard to their order; an empty list is all regions. A limit of 0 is the entry's default. Result: TestCompare failed in two new cases and TestCompareRegions before; all of internal/configcheck pass with -race.

--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -175,17 +175,26 @@
 	changed("resuming of streams", old.Resumable, now.Resumable)
 	changed("the latency objective", old.Objective, now.Objective)
 	changed("the longest event gap", old.EventGap, now.EventGap)
+	changed("the regions of its targets", formatRegions(old.Regions), formatRegions(now.Regions))
 	c.compareLimit("timeout of route "+now.Name, float64(old.Timeout), float64(now.Timeout), AfterDrain, formatDuration)
 }
 
+// formatRegions returns the regions of a limit in order.
+func formatRegions(regions []string) string {
+	if len(regions) == 0 {
+		return "all"
+	}
+	return strings.Join(slices.Compact(slices.Sorted(slices.Values(regions))), ", ")
+}
+
 func formatDuration(n float64) string { return time.Duration(n).String() }
 func formatNumber(n float64) string   { return fmt.Sprintf("%g", n) }
 
-// compareLimit compares a limit, of which 0 means none.
+// compareLimit compares a limit. An entry applies its own default in place of 0, which may be no limit.
 func (c *comparison) compareLimit(subject string, old, now float64, e Effect, format func(float64) string) {
 	text := func(n float64) string {
 		if n == 0 {
-			return "unlimited"
+			return "the entry's default"
 		}
 		return format(n)
 	}
--- a/internal/configcheck/compareaccounts.go
+++ b/internal/configcheck/compareaccounts.go
@@ -44,6 +44,9 @@
 		if a, b := formatPriority(old), formatPriority(now); a != b {
 			c.add(AccountChanged, name, AtOnce, "the priority is %s instead of %s", b, a)
 		}
+		if a, b := formatRegions(old.Regions), formatRegions(now.Regions); a != b {
+			c.add(AccountChanged, name, AtOnce, "the regions of its targets are %s instead of %s", b, a)
+		}
 	}
 	c.compareKeys(before, after)
 	c.compareAccess(before, after)
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -103,21 +103,24 @@
 			r.Name, r.Prefix = "n", "/n/"
 			c.Routes = append(c.Routes, r)
 		}, []string{"route-added n at once"}},
-		"route removed":  {func(c *routetable.Config) { c.Routes = c.Routes[:1] }, []string{"route-removed r1 " + string(AfterDrain)}},
-		"route moved":    {func(c *routetable.Config) { c.Routes[1].Backends[0].Service = "t" }, []string{"route-moved r1 " + string(AfterDrain)}},
-		"other shares":   {func(c *routetable.Config) { c.Routes[0].Backends[1].Weight = 90 }, []string{"route-moved r0 " + string(AfterDrain)}},
-		"same shares":    {func(c *routetable.Config) { c.Routes[0].Backends[0].Weight, c.Routes[0].Backends[1].Weight = 9, 1 }, nil},
-		"public":         {func(c *routetable.Config) { c.Routes[0].Public = true }, []string{"route-changed r0 at once"}},
-		"shorter time":   {func(c *routetable.Config) { c.Routes[0].Timeout = time.Second }, []string{"limit-lowered timeout of route r0 " + string(AfterDrain)}},
-		"priority":       {func(c *routetable.Config) { c.Routes[0].Priority = 3 }, []string{"route-changed r0 at once"}},
-		"lower limit":    {func(c *routetable.Config) { c.Limits.BodyBytes = 5 }, []string{"limit-lowered body bytes of a request at once"}},
-		"no limit":       {func(c *routetable.Config) { c.Limits.BodyBytes = 0 }, []string{"limit-raised body bytes of a request at once"}},
-		"service":        {func(c *routetable.Config) { c.Services[1].Name = "u" }, []string{"service-removed t " + string(AfterDrain), "service-added u at once"}},
-		"engine":         {func(c *routetable.Config) { c.Services[0].Engine.Slots = 11 }, []string{"service-changed s at once"}},
-		"key revoked":    {func(c *routetable.Config) { c.Accounts[0].Keys = c.Accounts[0].Keys[:1] }, []string{"key-revoked a " + string(AfterDrain)}},
-		"last key":       {func(c *routetable.Config) { c.Accounts[1].Keys = nil }, []string{"key-revoked b " + string(AfterDrain), "access-lost b " + string(AfterDrain)}},
-		"key added":      {func(c *routetable.Config) { c.Accounts[1].Keys = append(c.Accounts[1].Keys, "secret-4") }, []string{"key-added b at once"}},
-		"account's name": {func(c *routetable.Config) { c.Accounts[1].Name = "z" }, []string{"account-removed b " + string(AfterDrain), "account-added z at once", "key-moved z " + string(AfterDrain)}},
+		"route removed":     {func(c *routetable.Config) { c.Routes = c.Routes[:1] }, []string{"route-removed r1 " + string(AfterDrain)}},
+		"route moved":       {func(c *routetable.Config) { c.Routes[1].Backends[0].Service = "t" }, []string{"route-moved r1 " + string(AfterDrain)}},
+		"other shares":      {func(c *routetable.Config) { c.Routes[0].Backends[1].Weight = 90 }, []string{"route-moved r0 " + string(AfterDrain)}},
+		"same shares":       {func(c *routetable.Config) { c.Routes[0].Backends[0].Weight, c.Routes[0].Backends[1].Weight = 9, 1 }, nil},
+		"public":            {func(c *routetable.Config) { c.Routes[0].Public = true }, []string{"route-changed r0 at once"}},
+		"shorter time":      {func(c *routetable.Config) { c.Routes[0].Timeout = time.Second }, []string{"limit-lowered timeout of route r0 " + string(AfterDrain)}},
+		"priority":          {func(c *routetable.Config) { c.Routes[0].Priority = 3 }, []string{"route-changed r0 at once"}},
+		"regions":           {func(c *routetable.Config) { c.Routes[0].Regions = []string{"x"} }, []string{"route-changed r0 at once"}},
+		"region of account": {func(c *routetable.Config) { c.Accounts[0].Regions = []string{"x", "y"} }, []string{"account-changed a at once"}},
+		"empty regions":     {func(c *routetable.Config) { c.Routes[0].Regions, c.Accounts[0].Regions = []string{}, []string{} }, nil},
+		"lower limit":       {func(c *routetable.Config) { c.Limits.BodyBytes = 5 }, []string{"limit-lowered body bytes of a request at once"}},
+		"no limit":          {func(c *routetable.Config) { c.Limits.BodyBytes = 0 }, []string{"limit-raised body bytes of a request at once"}},
+		"service":           {func(c *routetable.Config) { c.Services[1].Name = "u" }, []string{"service-removed t " + string(AfterDrain), "service-added u at once"}},
+		"engine":            {func(c *routetable.Config) { c.Services[0].Engine.Slots = 11 }, []string{"service-changed s at once"}},
+		"key revoked":       {func(c *routetable.Config) { c.Accounts[0].Keys = c.Accounts[0].Keys[:1] }, []string{"key-revoked a " + string(AfterDrain)}},
+		"last key":          {func(c *routetable.Config) { c.Accounts[1].Keys = nil }, []string{"key-revoked b " + string(AfterDrain), "access-lost b " + string(AfterDrain)}},
+		"key added":         {func(c *routetable.Config) { c.Accounts[1].Keys = append(c.Accounts[1].Keys, "secret-4") }, []string{"key-added b at once"}},
+		"account's name":    {func(c *routetable.Config) { c.Accounts[1].Name = "z" }, []string{"account-removed b " + string(AfterDrain), "account-added z at once", "key-moved z " + string(AfterDrain)}},
 		"no accounts": {func(c *routetable.Config) { c.Accounts = nil }, []string{"route-changed r0 at once", "route-changed r1 at once",
 			"account-removed a " + string(AfterDrain), "account-removed b " + string(AfterDrain),
 			"key-revoked a " + string(AfterDrain), "key-revoked a " + string(AfterDrain), "key-revoked b " + string(AfterDrain)}},
@@ -148,6 +151,24 @@
 	}
 }
 
+// TestCompareRegions guards against limits to regions that are told in another order as if they had changed, and against an
+// empty one that is not told as all regions.
+func TestCompareRegions(t *testing.T) {
+	before, after := sound(), sound()
+	after.Version = 8
+	before.Routes[0].Regions, after.Routes[0].Regions = []string{"x", "y"}, []string{"y", "x"}
+	before.Accounts[0].Regions = []string{"x"}
+	before.Limits.BodyBytes = 0
+	var got []string
+	for _, d := range Compare(HashKeys(before), HashKeys(after)) {
+		got = append(got, d.Message)
+	}
+	want := []string{"the regions of its targets are all instead of x", "1.048576e+06 instead of the entry's default"}
+	if !slices.Equal(got, want) {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
+
 // TestHashKeysKeepsOriginal guards against a copy with hashed keys that changes the configuration in force.
 func TestHashKeysKeepsOriginal(t *testing.T) {
 	c := sound()
