membudget: large requests leave an eighth of the memory to small ones

Cause: with k accounts of large requests only 1/(k+1) of the memory stayed free, so that a request without a body was refused with 503 beside those of many accounts. Change: what counts to accounts grows only while an eighth stays free. An account may hold four thirds of what is free of the other seven eighths instead of once what is free of all, so that one account alone still gets half of the memory. Result: TestSmallRequestsBesideManyAccounts failed before (the first of 100 small requests was refused) and passes now; the other tests of internal/membudget pass unchanged with -race. With the plain bound, without the factor, TestCrestOfOneAccount had failed: accounts 3 and 4 after the first got nothing.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,9 +1,10 @@
 // Package membudget bounds the memory that the clients of a process hold together, and divides it fairly over client accounts.
 //
 // The share of an account follows the dynamic threshold of shared-memory switches (Choudhury and Hahne, 1998): an account may
-// hold as much as is free. One account alone gets half of the memory, two get a third each, and so on. What is left is for the
-// first requests of further accounts, so that a crest of large requests of one account does not keep the others out. The
-// first bytes of each request are not counted to its account, so that small requests are served beside large ones.
+// hold a multiple of what is free. One account alone gets half of the memory, two get nearly a third each, and so on. What is left
+// is for the first requests of further accounts, so that a crest of large requests of one account does not keep the others out.
+// The first bytes of each request are not counted to its account, and only they may use the last eighth of the memory, so that
+// small requests are served beside large ones of any number of accounts.
 //
 // Memory of a request that is still being received is taken back if another request needs it and the first one has stalled.
 // The one that has stalled for longest, or has received the least meanwhile, is taken first. A request that has been received
@@ -26,12 +27,18 @@
 	reclaimWait = 100 * time.Millisecond
 	// smallShare is the share of the memory that each request may hold without counting to its account.
 	smallShare = 1.0 / 1024
+	// reservedShare is the share of the memory that large requests must leave free, whatever the number of their accounts.
+	reservedShare = 1.0 / 8
+	// freeFactor is how many times what is free to large requests an account may hold. With reservedShare, one account alone
+	// gets half of the memory.
+	freeFactor = 4.0 / 3
 )
 
 // Budget is the memory that clients may hold together. It is safe for concurrent use. A nil Budget has no bound.
 type Budget struct {
 	limit int64
 	small int64 // bytes of each lease that do not count to its account
+	large int64 // bytes up to which large requests may fill the memory
 	// Reclaimed is called for each lease that is taken back. It must not block. It may be nil.
 	Reclaimed func()
 
@@ -45,8 +52,8 @@
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, small: int64(smallShare * float64(limit)), byAccount: map[string]int64{},
-		receiving: map[*Lease]struct{}{}, released: make(chan struct{})}
+	return &Budget{limit: limit, small: int64(smallShare * float64(limit)), large: int64((1 - reservedShare) * float64(limit)),
+		byAccount: map[string]int64{}, receiving: map[*Lease]struct{}{}, released: make(chan struct{})}
 }
 
 // Lease is the memory that one request holds. Only Budget calls its methods from other goroutines. A nil Lease has no bound.
@@ -201,7 +208,7 @@
 	more := l.countedBytes(l.bytes+n) - own
 	missing = n + b.held - b.limit
 	if more > 0 {
-		missing = max(missing, b.byAccount[l.account]+more+b.held+n-more-b.limit)
+		missing = max(missing, int64(float64(b.byAccount[l.account])/freeFactor)+b.held+n-b.large)
 	}
 	alone := more > 0 && b.counted == own
 	if missing > 0 && !alone {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// TestSmallRequestsBesideManyAccounts guards against small requests that are refused because the large ones of many accounts
+// hold nearly all memory together.
+func TestSmallRequestsBesideManyAccounts(t *testing.T) {
+	const limit, accounts, piece, small = 1 << 20, 500, 4 << 10, 100
+	b := New(limit)
+	held := int64(0)
+	for i := range accounts {
+		held += fill(b, fmt.Sprint(i), piece)
+	}
+	if held < limit*3/4 {
+		t.Errorf("large requests hold %d of %d bytes", held, limit)
+	}
+	for i := range small {
+		if !b.Lease("small").Grow(limit / 1024) {
+			t.Fatalf("small request %d of %d is refused; %d of %d bytes are held", i, small, b.Held(), limit)
+		}
+	}
+}
+
 // TestLargeRequestAlone guards against a request that exceeds the share of its account and would be refused for ever.
 func TestLargeRequestAlone(t *testing.T) {
 	b := New(1000)
