node: listeners have the system's receive window again

Cause: the small window of listening sockets, which was lifted after a connection was accepted, stayed in force: Linux fixes the window scale at the first packet from the clamp, so that an accepted connection got 64 KB a round trip at most, in calm too. Change: TCP_WINDOW_CLAMP and its uses are deleted.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -13,8 +13,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -24,7 +22,7 @@
 	// places are in use, or up to crowdedTime later. Buffers that the system sizes grow to megabytes on a connection that is
 	// read in part.
 	crowdedBufferBytes = 64 << 10
-	crowdedShare       = 0.25
+	crowdedShare       = 0.5
 	crowdedTime        = 10 * time.Second
 )
 
@@ -93,7 +91,6 @@
 	if s == nil {
 		return nil, false
 	}
-	tcpconn.OpenWindow(c)
 	if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && l.isCrowded() {
 		_ = buffered.SetReadBuffer(crowdedBufferBytes)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -113,15 +115,15 @@
 func (e *entry) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers, err := listen(e.settings.Listen.Callers, e.resources.callerConns)
+	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
 	if err != nil {
 		return err
 	}
-	ready, err := listen(e.settings.Listen.Ready, e.resources.readyConns)
+	ready, err := net.Listen("tcp", e.settings.Listen.Ready)
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	control, err := e.resources.listenControl(e.settings.Listen.Control)
+	control, err := tcpconn.Listen(e.settings.Listen.Control)
 	if err != nil {
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -76,7 +77,7 @@
 	if addr == "" {
 		return
 	}
-	l, err := listen(addr, conns)
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		log.WithField("error", err.Error()).Warn("metrics are not served")
 		return
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -15,6 +15,7 @@
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 	"github.com/camphorbank/camphorbank/internal/routetable"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -77,7 +78,7 @@
 // run serves the coordinators of the group, and registers with the entries until ctx ends.
 func (r *rank) run(ctx context.Context) error {
 	resources := newResources(r.settings)
-	l, err := resources.listenControl(r.self.Control)
+	l, err := tcpconn.Listen(r.self.Control)
 	if err != nil {
 		return err
 	}
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"runtime/debug"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/metrics"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 // Shares of the memory of the VM. Connections, garbage and the rest of the process need the other part.
@@ -82,22 +80,6 @@
 	return r
 }
 
-// listen listens on an address whose connections are bounded by conns.
-func listen(addr string, conns *connlimit.Limit) (net.Listener, error) {
-	if conns.Max() == 0 {
-		return net.Listen("tcp", addr)
-	}
-	return tcpconn.ListenUntrusted(addr)
-}
-
-// listenControl listens for calls of other processes.
-func (r *resources) listenControl(addr string) (net.Listener, error) {
-	if r.controlConns.Max() == 0 {
-		return tcpconn.Listen(addr)
-	}
-	return tcpconn.ListenUntrustedPeers(addr)
-}
-
 // newPeerServer returns a server of calls of other processes.
 func (r *resources) newPeerServer() *peer.Server {
 	s := peer.NewServer()
