--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -6,7 +6,9 @@
 //  3. connections whose request is being received, the slowest first,
 //  4. connections on which a request has just begun, the oldest first.
 //
-// A connection whose request runs is never closed. If all of them run, the new connection is refused.
+// A connection whose request runs, as Slot.Run states, is never closed. If all of them run, the new connection is refused. On a
+// listener whose server does not call Run, as for readiness and metrics, a request counts as being received until its answer has
+// been written, and may be closed before.
 package connlimit
 
 import (
