node: a share of the descriptors is never rounded to no limit

Cause: with max_fds of 1 to 215 some shares were 0, which means no limit. So did a memory_mb that has no room for a connection. Change: a share of a stated limit is at least 1. TestResourcesFitTheSettings also has 184 MB/4,200, 536 MB/8,192 and 152 MB/2,048, which pass with and without the change. Result: TestSmallSettingsAreLimits failed before and passes now with -race.

--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -62,14 +62,19 @@
 	if s.MaxFiles > 0 {
 		sockets = max(1, s.MaxFiles-reservedFiles)
 	}
-	share := func(part float64) int { return int(part * float64(sockets)) }
+	share := func(part float64) int {
+		if sockets == 0 {
+			return 0
+		}
+		return max(1, int(part*float64(sockets))) // 0 would be no limit
+	}
 	control := share(controlShare)
 	if s.Role == RoleRank {
 		control = share(rankControlShare)
 	}
 	callers := share(callerShare)
 	if s.MemoryBytes > 0 && callers > 0 {
-		callers = min(callers, int(connMemoryShare*float64(s.MemoryBytes)/connBytes))
+		callers = min(callers, max(1, int(connMemoryShare*float64(s.MemoryBytes)/connBytes)))
 	}
 	r.callerConns = newConnLimit(callers, "callers")
 	r.controlConns = newConnLimit(control, "control")
--- a/internal/node/resources_test.go
+++ b/internal/node/resources_test.go
@@ -9,7 +9,10 @@
 	for _, s := range []Settings{
 		{Role: RoleEntry, MemoryBytes: 284e6, MaxFiles: 4100},
 		{Role: RoleEntry, MemoryBytes: 160e6, MaxFiles: 4100},
+		{Role: RoleEntry, MemoryBytes: 184e6, MaxFiles: 4200},
+		{Role: RoleEntry, MemoryBytes: 536e6, MaxFiles: 8192},
 		{Role: RoleRank, MemoryBytes: 128e6, MaxFiles: 2048},
+		{Role: RoleRank, MemoryBytes: 152e6, MaxFiles: 2048},
 	} {
 		r := newResources(&s)
 		sockets := s.MaxFiles - reservedFiles
@@ -33,6 +36,18 @@
 	}
 }
 
+// TestSmallSettingsAreLimits guards against a share that is rounded to 0, which is no limit.
+func TestSmallSettingsAreLimits(t *testing.T) {
+	for _, role := range []Role{RoleEntry, RoleRank} {
+		for files := 1; files <= 2*reservedFiles; files++ {
+			r := newResources(&Settings{Role: role, MemoryBytes: 100e3, MaxFiles: files})
+			if r.callerConns.Max() < 1 || r.controlConns.Max() < 1 || r.readyConns.Max() < 1 || r.metricsConns.Max() < 1 || r.targetConns < 1 {
+				t.Fatalf("%s with %d descriptors: a share is no limit", role, files)
+			}
+		}
+	}
+}
+
 // TestNoSettingsNoLimits guards against limits in a process whose settings state none.
 func TestNoSettingsNoLimits(t *testing.T) {
 	r := newResources(&Settings{Role: RoleEntry})
