--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -6,15 +6,15 @@
 //  3. connections whose request is being received, the slowest first,
 //  4. connections on which a request has just begun, the oldest first.
 //
-// A connection whose request runs is never closed. If all of them run, the new connection is refused.
+// A connection whose request runs, as Slot.Run states, is never closed. If all of them run, the new connection is refused. On a
+// listener whose server does not call Run, as for readiness and metrics, a request counts as being received until its answer has
+// been written, and may be closed before.
 package connlimit
 
 import (
 	"net"
 	"sync"
 	"time"
-
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -24,7 +24,7 @@
 	// places are in use, or up to crowdedTime later. Buffers that the system sizes grow to megabytes on a connection that is
 	// read in part.
 	crowdedBufferBytes = 64 << 10
-	crowdedShare       = 0.25
+	crowdedShare       = 0.5
 	crowdedTime        = 10 * time.Second
 )
 
@@ -93,7 +93,6 @@
 	if s == nil {
 		return nil, false
 	}
-	tcpconn.OpenWindow(c)
 	if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && l.needsSmallBuffer() {
 		_ = buffered.SetReadBuffer(crowdedBufferBytes)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -57,6 +57,7 @@
 	x.record = Record{ID: x.call.ID, Started: time.Now()}
 	if x.conn = connOf(r); x.conn != nil {
 		x.memory = x.conn.memory
+		x.conn.headArrived()
 	}
 	defer func() {
 		x.memory.Release()
@@ -69,7 +70,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	if x.admit() && x.keepConnection() {
-		defer x.conn.requestEnded()
 		x.run()
 	}
 }
@@ -81,7 +81,7 @@
 		x.refuseStalled()
 		return false
 	}
-	if x.conn != nil && !x.conn.slot.Run() {
+	if x.conn != nil && !x.conn.startRun() {
 		x.record.setOutcome(OutcomeLeft, ReasonClosed)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,11 +38,10 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 }
 
-// trackState records when a connection waits for its next request.
+// trackState notes on a connection that its answer has been written and that it waits for its next request.
 func trackState(c net.Conn, s http.ConnState) {
 	if c, ok := httpdrain.Inner(c).(*limitedConn); ok && s == http.StateIdle {
-		c.head = headMeter{}
-		c.slot.Idle()
+		c.awaitRequest()
 	}
 }
 
@@ -64,7 +64,7 @@
 	if c == nil {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.setReadDeadline(t)
 }
 
 // Listener accepts callers' connections and applies limits to them.
@@ -99,8 +99,12 @@
 	limits  func() routetable.Limits
 	slot    *connlimit.Slot
 	memory  *membudget.Lease // of the present request
-	head    headMeter        // of the present request
+	running bool             // the present request runs, or its answer is being written; for the server's goroutine only
 	expired atomic.Bool      // the memory was taken back
+
+	headMu   sync.Mutex // guards the rest; net/http may read while the handler begins
+	head     headMeter  // of the present request
+	headRead bool       // the head of the present request has arrived; what follows is no part of it
 }
 
 // Read reads from the connection. It fails if there is no memory for the head of a request, after which the server closes the
@@ -111,25 +115,62 @@
 		return n, err
 	}
 	c.slot.Received(n)
-	if cost := c.head.add(p[:n]); cost > 0 {
-		if !c.head.begun {
-			c.head.begun = true
-			c.memory.Receive(c.expire)
-		}
-		if !c.memory.Grow(cost) {
-			c.slot.NoMemory()
-			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
-		}
+	if !c.takeHeadMemory(p[:n]) {
+		c.slot.NoMemory()
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
 	}
 	c.memory.Received(n)
 	return n, err
 }
 
-// requestEnded records that a request that ran has ended.
-func (c *limitedConn) requestEnded() {
-	if c != nil {
+// takeHeadMemory takes the memory that the head of a request needs for bytes that have arrived. It returns false without it.
+func (c *limitedConn) takeHeadMemory(p []byte) bool {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if c.headRead {
+		return true
+	}
+	cost := c.head.add(p)
+	if cost == 0 {
+		return true
+	}
+	c.receive()
+	return c.memory.Grow(cost)
+}
+
+// receive states that the present request is being received, so that its memory may be taken back. The caller
+// holds the lock.
+func (c *limitedConn) receive() {
+	if !c.head.begun {
+		c.head.begun = true
+		c.memory.Receive(c.expire)
+	}
+}
+
+// headArrived states that the head of a request has arrived. It may have been read together with the request before.
+func (c *limitedConn) headArrived() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.headRead = true
+	c.receive()
+}
+
+// startRun states that the request runs until its answer has been written. It returns false if the connection is being closed.
+func (c *limitedConn) startRun() bool {
+	c.running = c.slot.Run()
+	return c.running
+}
+
+// awaitRequest states that the answer of a request has been written and that the next request may arrive.
+func (c *limitedConn) awaitRequest() {
+	if c.running {
+		c.running = false
 		c.slot.Done()
 	}
+	c.slot.Idle()
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head, c.headRead = headMeter{}, false
 }
 
 // expire ends the reading of the present request, since its memory is taken back.
@@ -148,11 +189,8 @@
 // SetReadDeadline sets the deadline, or the limit of the configuration if that is earlier. The server sets a deadline
 // further away than HeaderTimeout only for an idle connection.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
-	if c.expired.Load() {
-		return c.Conn.SetReadDeadline(time.Unix(1, 0))
-	}
 	if t.IsZero() {
-		return c.Conn.SetReadDeadline(t)
+		return c.setReadDeadline(t)
 	}
 	limits, now := c.limits(), time.Now()
 	limit := limits.HeaderTimeout
@@ -162,7 +200,16 @@
 	if limit > 0 && t.After(now.Add(limit)) {
 		t = now.Add(limit)
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline sets the deadline, unless expire has ended the reading or does so meanwhile.
+func (c *limitedConn) setReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.expired.Load() {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
 }
 
 // resetOnClose sets whether the connection is reset when it is closed, whoever closes it, also the system after the end of
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -75,7 +76,7 @@
 	if addr == "" {
 		return
 	}
-	l, err := listen(addr, conns)
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		log.WithField("error", err.Error()).Warn("metrics are not served")
 		return
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"runtime/debug"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/metrics"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 // Shares of the memory of the VM. Connections, garbage and the rest of the process need the other part.
@@ -64,14 +62,19 @@
 	if s.MaxFiles > 0 {
 		sockets = max(1, s.MaxFiles-reservedFiles)
 	}
-	share := func(part float64) int { return int(part * float64(sockets)) }
+	share := func(part float64) int {
+		if sockets == 0 {
+			return 0
+		}
+		return max(1, int(part*float64(sockets))) // 0 would be no limit
+	}
 	control := share(controlShare)
 	if s.Role == RoleRank {
 		control = share(rankControlShare)
 	}
 	callers := share(callerShare)
 	if s.MemoryBytes > 0 && callers > 0 {
-		callers = min(callers, int(connMemoryShare*float64(s.MemoryBytes)/connBytes))
+		callers = min(callers, max(1, int(connMemoryShare*float64(s.MemoryBytes)/connBytes)))
 	}
 	r.callerConns = newConnLimit(callers, "callers")
 	r.controlConns = newConnLimit(control, "control")
@@ -82,22 +85,6 @@
 	return r
 }
 
-// listen listens on an address whose connections are bounded by conns.
-func listen(addr string, conns *connlimit.Limit) (net.Listener, error) {
-	if conns.Max() == 0 {
-		return net.Listen("tcp", addr)
-	}
-	return tcpconn.ListenUntrusted(addr)
-}
-
-// listenControl listens for calls of other processes.
-func (r *resources) listenControl(addr string) (net.Listener, error) {
-	if r.controlConns.Max() == 0 {
-		return tcpconn.Listen(addr)
-	}
-	return tcpconn.ListenUntrustedPeers(addr)
-}
-
 // newPeerServer returns a server of calls of other processes.
 func (r *resources) newPeerServer() *peer.Server {
 	s := peer.NewServer()
