--- a/internal/balance/contention.go
+++ b/internal/balance/contention.go
@@ -142,14 +142,15 @@
 }
 
 // imbalance returns the factor by which the most loaded rank of a group takes longer than the mean, and the factor that
-// admission of a job allows for.
+// admission of a job allows for. Reports of the group's coordinator are too high right after a shift of popularity, so that
+// admission goes by what the streams have shown where it can.
 func (b *Balancer) imbalance(g *group, job *Job) (current, reserved float64) {
 	current, reserved = g.imbalance()
 	if g == nil || !job.Prioritized {
 		return current, reserved
 	}
 	if p := b.progress[g.report.Name]; p != nil && g.report.Imbalance > 0 {
-		reserved = max(current, p.reserve.Value(b.now()))
+		reserved = p.reserve.Value(b.now())
 	}
 	return current, reserved
 }
