--- a/review/stand2/runnerproc.go
+++ b/review/stand2/runnerproc.go
@@ -12,18 +12,27 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// leaving is set once the runner leaves; it then says so in its answers.
+var leaving atomic.Bool
+
 // serveRunner is the process of a runner whose answers have no length and no chunks: they end with their connection. It
 // writes a line for the begin and the end of each run to standard output. A stream that may be resumed goes on after
-// Last-Event-Id.
+// Last-Event-Id. A line on standard input says that the runner leaves.
 func serveRunner(id, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
 	fmt.Println("listening")
+	go func() {
+		if bufio.NewScanner(os.Stdin).Scan() {
+			leaving.Store(true)
+		}
+	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -48,6 +57,9 @@
 	}
 	request := q.Header.Get("X-Camphorbank-Request-Id")
 	head := "X-Camphorbank-Request-Id: " + request + "\r\nConnection: close\r\n"
+	if leaving.Load() {
+		head += "Server-Leaving: 1\r\n"
+	}
 	if want := q.Header.Get("X-Camphorbank-Target-Instance"); want != "" && want != id {
 		_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"X-Camphorbank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		return
@@ -70,6 +82,7 @@
 	id, addr string
 	born     time.Time
 	cmd      *exec.Cmd
+	in       io.WriteCloser
 
 	mu   sync.Mutex
 	runs []string // its lines, with their times
@@ -92,6 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.in, err = r.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
 	if err := started.start(r.cmd); err != nil {
 		return nil, err
 	}
@@ -118,6 +134,9 @@
 	}
 }
 
+// leave makes the runner say in its answers that it leaves.
+func (r *runnerProcess) leave() { _, _ = fmt.Fprintln(r.in, "leave") }
+
 // entry returns the value of the runner's key in the store.
 func (r *runnerProcess) entry(service, zone, state string, slots int) []byte {
 	v, _ := json.Marshal(map[string]any{"service": service, "address": r.addr, "zone": zone, "version": 1, "slots": slots,
--- a/review/stand2/spot.go
+++ b/review/stand2/spot.go
@@ -70,6 +70,7 @@
 			time.Sleep(spotNoticeAt)
 			for n, r := range runners[:spotLeaving] {
 				s.put("servers/"+r.id, r.entry("wording", zones[n%3], "draining", spotSlots))
+				r.leave()
 				rec.printf("%s reports draining", r.id)
 			}
 			time.Sleep(spotTime)
