httpclient, upstream: an answer needs a status of a final answer

Reported by operators of other systems: a runner sent an answer with the status 000 and the client got it.

Seen here: on the product's own interface the caller of a booking got such an answer of a plain service, and a rank's reply with it counted as a command that was carried out. On the platform an entry took the head for an informational one: the request waited until its time limit, and if the body began like an answer, the caller got that. 600 and more were passed on on both interfaces.

Cause: net/http accepts any three digits, and each client compared with the statuses that it knew.

Change: httphead.CheckFinal states the statuses of final answers, 200 to 599. internal/upstream and the transport that all other clients use fail for others at once, as for an answer that broke off: the outcome of the request is unknown.

--- a/internal/adapter/platformhttp/platform.go
+++ b/internal/adapter/platformhttp/platform.go
@@ -46,7 +46,7 @@
 	t.MaxIdleConnsPerHost = 2
 	t.MaxResponseHeaderBytes = httpclient.MaxHeadBytes
 	t.DialContext = traffic.Dial
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: &httpclient.Transport{Transport: t}}
 }
 
 // ConfigSource reads the configuration service. It implements port.ConfigSource.
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -1,5 +1,5 @@
-// Package httpclient builds the transports of HTTP clients. All of them notice peers that have gone silent, and bound the head
-// of an answer.
+// Package httpclient builds the transports of HTTP clients. All of them notice peers that have gone silent, bound the head of an
+// answer, and accept the statuses of final answers only.
 package httpclient
 
 import (
@@ -17,15 +17,31 @@
 // which as header lines need many times as much memory.
 const MaxHeadBytes = 64 << 10
 
+// Transport is a transport of net/http that fails for an answer whose status is not one of a final answer, such as 000.
+type Transport struct{ *http.Transport }
+
 // NewTransport returns a transport that opens connections within dialTimeout. It uses no proxy and asks for no compression.
-func NewTransport(dialTimeout time.Duration) *http.Transport {
-	return &http.Transport{DialContext: tcpconn.Dialer(dialTimeout).DialContext, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true}
+func NewTransport(dialTimeout time.Duration) *Transport {
+	return &Transport{&http.Transport{DialContext: tcpconn.Dialer(dialTimeout).DialContext, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true}}
+}
+
+// RoundTrip sends a request and returns its final answer. The connection of an answer with another status is closed.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.CheckFinal(res.StatusCode); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
+	return res, nil
 }
 
 // NewSingleUseTransport returns a transport like NewTransport that uses each connection for one request. A second copy of an
 // earlier answer can then not be taken for the answer to the next request, net/http never sends a request again by itself, and
 // the lines of each head are checked.
-func NewSingleUseTransport(dialTimeout time.Duration) *http.Transport {
+func NewSingleUseTransport(dialTimeout time.Duration) *Transport {
 	t := NewTransport(dialTimeout)
 	t.DisableKeepAlives = true
 	secure := &tls.Dialer{NetDialer: tcpconn.Dialer(dialTimeout)}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,14 +1,36 @@
-// Package httphead checks the lines of the heads of HTTP/1 answers.
+// Package httphead checks the heads of HTTP/1 answers: their lines and their statuses.
 package httphead
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
 
 // Errors of heads.
 var (
 	ErrMalformed = errors.New("line of a head does not end with CRLF")
 	ErrEvent     = errors.New("head has a line of an event")
+	ErrStatus    = errors.New("status is not one of a final answer")
 )
 
+// endOfStatuses is the first number above the statuses of HTTP.
+const endOfStatuses = 600
+
+// CheckFinal returns ErrStatus if a status is not one of a final answer. net/http reads any three digits as a status, such as 000,
+// and each client takes those that it does not know for the end of the exchange or for an informational answer.
+func CheckFinal(status int) error {
+	if status < http.StatusOK || status >= endOfStatuses {
+		return fmt.Errorf("%w: %03d", ErrStatus, status)
+	}
+	return nil
+}
+
+// IsInformational reports whether another head follows one with the status. The change of the protocol ends the exchange.
+func IsInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // statusClassAt is the position of the first digit of the status in a status line, such as "HTTP/1.1 200 OK".
 const statusClassAt = len("HTTP/1.1 ")
 
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -93,7 +93,7 @@
 // createClients creates a client for each entry. It connects to none of them.
 func (g *generator) createClients(transport *http.Transport) error {
 	doer := &http.Client{
-		Transport:     limitedTransport{transport},
+		Transport:     limitedTransport{&httpclient.Transport{Transport: transport}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	for _, e := range g.opt.Entries {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/httphead"
 )
 
 // Request is one request to a target. It is sent unchanged.
@@ -163,23 +165,24 @@
 		if err := checkHead(resp); err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 {
-			framing := framingOf(resp, method)
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: bodyOf(resp, framing, c),
-				Framing: framing, Reused: c.carried, http: resp, conn: c, pool: p}, nil
+		if httphead.IsInformational(resp.StatusCode) {
+			continue
 		}
+		framing := framingOf(resp, method)
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: bodyOf(resp, framing, c),
+			Framing: framing, Reused: c.carried, http: resp, conn: c, pool: p}, nil
 	}
 }
 
-var (
-	errUnaskedUpgrade = errors.New("answer changes the protocol, which no request asks for")
-	errSpaceInName    = errors.New("name of a header has a space")
-)
+var errSpaceInName = errors.New("name of a header has a space")
 
-// checkHead returns an error for a head that net/http accepts although it does not say where its answer ends.
+// checkHead returns an error for a head that net/http accepts although it is none of an answer, or does not say where its answer
+// ends.
 func checkHead(r *http.Response) error {
-	if r.StatusCode == http.StatusSwitchingProtocols {
-		return errUnaskedUpgrade
+	if !httphead.IsInformational(r.StatusCode) {
+		if err := httphead.CheckFinal(r.StatusCode); err != nil {
+			return err
+		}
 	}
 	for name := range r.Header {
 		if strings.ContainsAny(name, " \t") { // such as "Content-Length : 4", which net/http doesn't take for the length
