stream: an answer of frames has a bound

Reported by operators of other systems: a machine kept all bytes that a faulty runner sent without end, ran out of memory, and the requests of its other clients ended with it.

Seen here, on the product's own interface, in the calls between our processes: an entry kept the text of all frames of a local process. One frame has a bound, their number had none until the deadline of the request, which may be an hour away.

Change: the text of an answer has the 8 MB that a local process accepts from its engine, and a bound on its frames. The attempt then counts as incomplete: an idempotent request goes to another target, the outcome of others is unknown.

--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -16,13 +16,14 @@
 
 	"github.com/camphorbank/camphorbank/internal/httpclient"
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
 const (
 	// maxEventBytes bounds one server-sent event of the engine, and each of its reports.
 	maxEventBytes = 1 << 20
-	// maxTextBytes bounds the text of one response. It is 80 bytes for each token of the largest request.
-	maxTextBytes = 8 << 20
+	// maxTextBytes bounds the text of one response.
+	maxTextBytes = wire.MaxAnswerBytes
 	// dialTimeout bounds connecting to the engine, which runs on the same VM.
 	dialTimeout = time.Second
 	// cancelTimeout bounds the request that cancels a stream. The stream's connection is closed as well, so that a lost
--- a/internal/stream/assembler.go
+++ b/internal/stream/assembler.go
@@ -18,6 +18,10 @@
 // ErrIncomplete is returned if the frames do not form a complete answer.
 var ErrIncomplete = errors.New("incomplete answer")
 
+// maxTextFrames bounds the text frames of one answer. Each holds the text of a token at least, and the largest request asks for
+// 100,000.
+const maxTextFrames = 1 << 20
+
 // Hash returns the xxhash64 of a text in hexadecimal, as an end frame carries it.
 func Hash(text string) string { return fmt.Sprintf("%016x", xxhash.Sum64String(text)) }
 
@@ -36,7 +40,8 @@
 }
 
 // Add adds the next frame. It fails if the frame belongs to another attempt, is out of order, is of an unknown kind, is
-// a refused frame after text frames, or is an end frame whose count or hash differs from the text frames received.
+// a refused frame after text frames, is an end frame whose count or hash differs from the text frames received, or makes the
+// answer longer than any may be.
 func (a *Assembler) Add(f wire.Frame) error {
 	if f.ID != a.id {
 		return ErrForeignFrame
@@ -47,6 +52,9 @@
 	a.nextSeq++
 	switch f.Kind {
 	case wire.FrameText:
+		if a.textFrames == maxTextFrames || a.text.Len()+len(f.Text) > wire.MaxAnswerBytes {
+			return fmt.Errorf("%w: no end after %d text frames with %d bytes", ErrIncomplete, a.textFrames, a.text.Len())
+		}
 		a.textFrames++
 		a.text.WriteString(f.Text)
 		_, _ = a.digest.WriteString(f.Text)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,6 +96,9 @@
 	FrameFailed  FrameKind = "failed"  // the attempt may have run
 )
 
+// MaxAnswerBytes bounds the text of all frames of an answer. It is 80 bytes for each token of the largest request.
+const MaxAnswerBytes = 8 << 20
+
 // Frame is one message of an attempt's answer.
 type Frame struct {
 	ID   AttemptID `json:"id"`
