callerclient: an answer that is no stream has a bound

camphorbank send kept one value without end of a faulty entry. Events had a bound, other answers had none; camphorbank load had one of its own. An answer has 48 MB at most now: 8 MB of text, six times as long with JSON escapes.

TestEndlessAnswer before the change: its process took memory until it was killed.

--- a/internal/adapter/callerclient/client.go
+++ b/internal/adapter/callerclient/client.go
@@ -33,7 +33,10 @@
 	}
 	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
 		res.Body = &eventBody{body: res.Body, eventBytesLeft: maxEventBytes}
-	} else if req.URL.Path == client.DraftStreamCamphorbankPath() && res.StatusCode != http.StatusOK {
+		return res, nil
+	}
+	res.Body = http.MaxBytesReader(nil, res.Body, maxAnswerBytes)
+	if req.URL.Path == client.DraftStreamCamphorbankPath() && res.StatusCode != http.StatusOK {
 		// The generated stream drops the refusal and returns only its status.
 		_, err = client.DecodeDraftStreamResponse(goahttp.ResponseDecoder, false)(res)
 		return nil, err
@@ -41,6 +44,10 @@
 	return res, nil
 }
 
+// maxAnswerBytes bounds an answer that is no stream. A draft has at most 8 MB of text, which JSON escapes can make six times as
+// long.
+const maxAnswerBytes = 48 << 20
+
 // maxEventBytes bounds one event. It equals the limit of an entry for the frames that it turns into events.
 const maxEventBytes = 7 << 20
 
