--- a/test/standin/oddstatus/oddstatus.go
+++ b/test/standin/oddstatus/oddstatus.go
@@ -5,9 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"testing"
 	"time"
+
+	"github.com/camphorbank/camphorbank/test/standin/target"
 )
 
 // Statuses are three digits that are no status of a final answer.
@@ -37,38 +38,13 @@
 // address.
 func Start(t *testing.T, status, body string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := target.Start(target.Raw(Head(status)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), true))
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c, Head(status)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(s.Close)
+	return s.Addr
 }
 
 // Head returns the status line of an answer.
 func Head(status string) string { return "HTTP/1.1 " + status + " Odd\r\n" }
-
-// maxRequestBytes is more than any request of a test has.
-const maxRequestBytes = 64 << 10
-
-func serve(c net.Conn, answer string) {
-	defer c.Close()
-	request := make([]byte, maxRequestBytes)
-	for {
-		if _, err := c.Read(request); err != nil {
-			return
-		}
-		if _, err := c.Write([]byte(answer)); err != nil {
-			return
-		}
-	}
-}
