gateway: late streams are judged by those that followed long ones

Cause: requests that arrive once a stop is drained are not like the others of their route. Each follows an answer that has lasted since before the stop.

Change: a late stream is withheld if those of its route that followed a long request on their connection were short; with fewer than three, if all were.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -292,8 +292,15 @@
 func (x *exchange) noteRunTime() {
 	switch x.record.Outcome {
 	case OutcomeServed, OutcomeFailed, OutcomeBroken:
-		x.g.runTimes.add(x.route.Name, time.Since(x.runStarted))
+	default:
+		return
+	}
+	took, afterLong := time.Since(x.runStarted), false
+	if x.conn != nil {
+		afterLong = x.conn.took > x.maxWithheldTime()
+		x.conn.took = took
 	}
+	x.g.runTimes.add(x.route.Name, took, afterLong)
 }
 
 // endInOrder lets the connection of an HTTP/1.0 caller end in order, since its answer is complete.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -100,6 +100,7 @@
 	slot    *connlimit.Slot
 	memory  *membudget.Lease // of the present request
 	running bool             // the present request runs, or its answer is being written; for the server's goroutine only
+	took    time.Duration    // time that the last request took; for the server's goroutine only
 	expired atomic.Bool      // the memory was taken back
 
 	headMu   sync.Mutex // guards the rest; net/http may read while the handler begins
--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -16,6 +16,9 @@
 	usualShare = 0.95
 	// enoughRequests is the number of requests from which on their times alone count.
 	enoughRequests = 8
+	// recentLate is the number of latest requests that followed a long one, and enoughLate the number from which on they count.
+	recentLate = 16
+	enoughLate = 3
 	// longestPeriod is the time for which the longest time of a route is remembered at least, and half the time for which it
 	// is at most.
 	longestPeriod = time.Minute
@@ -33,10 +36,19 @@
 	count   int                           // number of times that were added
 	longest [2]time.Duration              // of the present period and the one before
 	begun   time.Time                     // begin of the present period
+
+	// afterLong is a ring of the times of requests that followed a long one on their connection. Those that arrive once a planned
+	// stop is drained are such requests, and may be unlike most others of the route.
+	afterLong      [recentLate]time.Duration
+	afterLongCount int // number of times that were added
 }
 
 // note adds the time of a request that has ended now.
-func (t *routeTimes) note(took time.Duration, now time.Time) {
+func (t *routeTimes) note(took time.Duration, afterLong bool, now time.Time) {
+	if afterLong {
+		t.afterLong[t.afterLongCount%recentLate] = took
+		t.afterLongCount++
+	}
 	t.latest[t.count%recentRequests] = took
 	t.count++
 	if now.Sub(t.begun) >= longestPeriod {
@@ -45,8 +57,9 @@
 	t.longest[0] = max(t.longest[0], took)
 }
 
-// add records how long a request of a route took from the end of its body to the end of its answer.
-func (r *runTimes) add(route string, took time.Duration) {
+// add records how long a request of a route took from the end of its body to the end of its answer, and whether it followed a long
+// one on its connection.
+func (r *runTimes) add(route string, took time.Duration, afterLong bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	times := r.routes[route]
@@ -57,17 +70,21 @@
 		times = &routeTimes{}
 		r.routes[route] = times
 	}
-	times.note(took, time.Now())
+	times.note(took, afterLong, time.Now())
 }
 
-// longest returns the longest time that a request of a route has taken lately. ok is false if too few requests are known.
-func (r *runTimes) longest(route *routetable.Route) (_ time.Duration, ok bool) {
+// longestLate returns the longest time that a request has taken lately that is like those which arrive once a planned stop is
+// drained. ok is false if too few requests of the route are known.
+func (r *runTimes) longestLate(route *routetable.Route) (_ time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	times := r.routes[route.Name]
 	if times == nil || times.count < enoughRequests {
 		return 0, false
 	}
+	if n := times.afterLongCount; n >= enoughLate {
+		return slices.Max(times.afterLong[:min(n, recentLate)]), true
+	}
 	return max(times.longest[0], times.longest[1]), true
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
 // errStopping is the cause of the end of a request that is cut short by the planned stop of the process.
@@ -107,18 +109,20 @@
 }
 
 // mayStart reports whether an attempt may start now. During a planned stop a request is sent to a target only if its own time
-// limit passes before the end, or the time that is left is enough for most requests of its route. Once the stop is drained, the
-// second is not enough for an answer that cannot be withheld. An answer that has begun goes on as long as there is time.
+// limit passes before the end, or the time that is left is enough for most requests of its route. Once the stop is drained, a
+// stream has to be short enough to be withheld. An answer that has begun is lost unless it goes on.
 func (x *exchange) mayStart() bool {
+	stop := x.g.Stop
 	switch {
-	case !x.g.Stop.Begun() || x.endsBeforeStop():
+	case !stop.Begun() || x.endsBeforeStop():
 		return true
 	case x.headSent:
-		return x.g.Stop.left() >= minRetryTime
-	case x.g.Stop.left() < x.fairTime():
-		return false
+		return stop.left() >= minRetryTime
+	case x.route.Kind != routetable.KindStream || stop.drainLeft() > 0:
+		return stop.left() >= x.fairTime()
 	}
-	return x.g.Stop.drainLeft() > 0 || x.mayWithhold()
+	longest, ok := x.expectedWithheldTime()
+	return ok && stop.left() >= longest
 }
 
 // endsBeforeStop reports whether the time limit of the request passes before the end of the stop, which has begun.
@@ -128,10 +132,10 @@
 
 // startWait returns the longest time for which the request may wait before an attempt.
 func (x *exchange) startWait() time.Duration {
-	if !x.g.Stop.Begun() || x.endsBeforeStop() {
+	switch {
+	case !x.g.Stop.Begun() || x.endsBeforeStop():
 		return time.Until(x.deadline)
-	}
-	if x.headSent {
+	case x.headSent:
 		return x.g.Stop.left() - minRetryTime
 	}
 	return x.g.Stop.left() - x.startMargin()
@@ -143,11 +147,15 @@
 	return max(x.g.runTimes.usual(x.route), minRetryTime)
 }
 
-// startMargin returns the time before the end of the stop, which has begun, from which on the request may not start.
+// startMargin returns the time before the end of the stop, which has begun, from which on a request without an answer may not
+// start any more. It is also called while the handler goes on.
 func (x *exchange) startMargin() time.Duration {
-	if x.mayWithhold() {
+	if x.route.Kind != routetable.KindStream {
 		return x.fairTime()
 	}
+	if longest, ok := x.expectedWithheldTime(); ok {
+		return longest
+	}
 	return max(x.fairTime(), x.g.Stop.left()-x.g.Stop.drainLeft())
 }
 
--- a/internal/gateway/withhold.go
+++ b/internal/gateway/withhold.go
@@ -17,20 +17,17 @@
 // errNotWithheld is the error of an answer for which there is no memory while it is withheld.
 var errNotWithheld = errors.New("answer is too long to be withheld until it is complete")
 
-// mayWithhold reports whether the answer to the request may be withheld. The caller of a stream waits for its first event
-// meanwhile, and can send its request elsewhere if the stream is not complete in time. A stream is therefore withheld only if it
-// may be repeated, and the latest ones of its route were short.
-func (x *exchange) mayWithhold() bool {
-	if x.route.Kind != routetable.KindStream {
-		return true
-	}
-	longest, ok := x.g.runTimes.longest(x.route)
-	return ok && x.route.Idempotent() && longest <= min(x.withholdTime(), x.g.Stop.left())
+// expectedWithheldTime returns the time for which the stream of the request is withheld at most, if it is like the latest ones. ok is false
+// if it cannot be withheld: its caller waits for the first event meanwhile, and has to send the request elsewhere if the stream is
+// not complete in time. So it must be allowed to run twice, and the latest ones like it must have been short.
+func (x *exchange) expectedWithheldTime() (_ time.Duration, ok bool) {
+	longest, ok := x.g.runTimes.longestLate(x.route)
+	return max(longest, minRetryTime), ok && x.route.Idempotent() && longest <= x.maxWithheldTime()
 }
 
-// withholdTime returns the longest time for which a stream is withheld. A caller that is refused instead waits for as long until
+// maxWithheldTime returns the longest time for which a stream is withheld. A caller that is refused instead waits for as long until
 // the first event of another process may come.
-func (x *exchange) withholdTime() time.Duration { return unsentRetryAfter + x.route.Objective }
+func (x *exchange) maxWithheldTime() time.Duration { return unsentRetryAfter + x.route.Objective }
 
 // beginSend reports whether the request may be sent now, and decides whether its answer is withheld.
 func (x *exchange) beginSend() bool {
@@ -41,7 +38,7 @@
 	stop := x.g.Stop
 	x.withheld = stop.Begun() && stop.drainLeft() <= 0 && !x.headSent && !x.endsBeforeStop()
 	if x.withheld && x.route.Kind == routetable.KindStream {
-		x.withholdTimer = time.AfterFunc(time.Until(x.runStarted.Add(x.withholdTime())), x.endForStop)
+		x.withholdTimer = time.AfterFunc(time.Until(x.runStarted.Add(x.maxWithheldTime())), x.endForStop)
 	}
 	return true
 }
--- a/internal/node/latestop_test.go
+++ b/internal/node/latestop_test.go
@@ -22,6 +22,8 @@
 		"max_attempts":2,"stream_resumption":true},
 	{"name":"mixed","hostname":"h","prefix":"/mixed/","route_kind":"stream","timeout_ms":60000,"target_latency_ms":1000,"service":"m",
 		"max_attempts":2,"stream_resumption":true},
+	{"name":"turns","hostname":"h","prefix":"/turns/","route_kind":"stream","timeout_ms":60000,"target_latency_ms":1000,"service":"m",
+		"max_attempts":2,"stream_resumption":true},
 	{"name":"fresh","hostname":"h","prefix":"/fresh/","route_kind":"stream","timeout_ms":60000,"target_latency_ms":1000,"service":"m",
 		"max_attempts":2,"stream_resumption":true},
 	{"name":"once","hostname":"h","prefix":"/once/","route_kind":"stream","timeout_ms":60000,"target_latency_ms":1000,"service":"m"},
@@ -78,6 +80,7 @@
 	calls := []*lateRequest{
 		{name: "stream unlike those before", path: "/drafts" + long},
 		{name: "long stream of a mixed route", path: "/mixed" + long},
+		{name: "long stream after another", path: "/turns" + long},
 		{name: "first stream of a route", path: "/fresh" + long},
 		{name: "stream that must run once", path: "/once" + long},
 		{name: "event stream of a plain route", path: "/safe" + long},
@@ -85,6 +88,7 @@
 		{name: "large answer", path: "/safe/large-250"},
 		{name: "large answer, once", path: "/unsafe/large-250"},
 		{name: "short stream", path: "/drafts/3", status: http.StatusOK},
+		{name: "short stream where one follows each long one", path: "/turns/3", status: http.StatusOK},
 		{name: "short event stream of a plain route", path: "/safe/3", status: http.StatusOK},
 		{name: "large answer that ends soon", path: "/unsafe/large-1", status: http.StatusOK},
 		{name: "plain request", path: "/unsafe/x", status: http.StatusOK},
@@ -123,7 +127,8 @@
 	}
 }
 
-// learnRunTimes lets the entry learn how long the requests of most routes take. Those of the route mixed are short but for one.
+// learnRunTimes lets the entry learn how long the requests of most routes take. Those of the route mixed are short but for one, and
+// those of the route turns are long and short in turn on each connection.
 func learnRunTimes(t *testing.T, p *entryProcess) {
 	var callers sync.WaitGroup
 	for i := range 20 {
@@ -132,6 +137,14 @@
 		}
 	}
 	callers.Go(func() { dialCaller(t, p).request("/mixed/80", "learn", 0) })
+	for i := range 4 {
+		callers.Go(func() {
+			c := dialCaller(t, p)
+			for _, path := range []string{"/turns/80", "/turns/3", "/turns/3"} {
+				c.request(path, fmt.Sprint(path, i), 0)
+			}
+		})
+	}
 	callers.Wait()
 }
 
