--- a/test/soak/restart_test.go
+++ b/test/soak/restart_test.go
@@ -108,7 +108,7 @@
 func (e *node) kill() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.exitExpected = true
+	*e.exitExpected = true
 	_ = e.process.Signal(syscall.SIGKILL) // fails if the process has ended
 }
 
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -81,7 +81,7 @@
 	mu           sync.Mutex
 	process      *localfleet.Process
 	incarnation  int
-	exitExpected bool       // the process was told to end
+	exitExpected *bool      // the present process was told to end
 	busy         sync.Mutex // held while a fault of the process is in force
 }
 
@@ -150,7 +150,7 @@
 func (w *system) close() {
 	for _, n := range w.nodes() {
 		n.mu.Lock()
-		n.exitExpected = true
+		*n.exitExpected = true
 		n.mu.Unlock()
 	}
 	if err := w.fleet.Stop(); err != nil {
@@ -270,13 +270,14 @@
 		w.t.Error(err)
 		return
 	}
-	e.process, e.exitExpected = p, false
+	expected := new(bool) // of this process, also when the next one has started
+	e.process, e.exitExpected = p, expected
 	e.incarnation++
 	go func() {
 		<-p.Done()
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if !e.exitExpected {
+		if !*expected {
 			w.t.Errorf("%s %s exited unexpectedly after %v (%s):\n%s", time.Now().Format("05.000"), e.name, time.Since(started), p.EndState(),
 				tail(p.Log()))
 		}
@@ -286,7 +287,7 @@
 // end ends the process of a node with a signal, and kills it if it still runs after the grace bound.
 func (w *system) end(e *node, s syscall.Signal) {
 	e.mu.Lock()
-	e.exitExpected = true
+	*e.exitExpected = true
 	p := e.process
 	e.mu.Unlock()
 	if err := p.Signal(s); err != nil {
