--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -19,8 +19,7 @@
 	// recentLate is the number of latest requests that followed a long one, and enoughLate the number from which on they count.
 	recentLate = 16
 	enoughLate = 3
-	// longestPeriod is the time for which the longest time of a route is remembered at least, and half the time for which it
-	// is at most.
+	// longestPeriod is the length of a period. The longest times of the present one and of the one before are kept.
 	longestPeriod = time.Minute
 )
 
@@ -35,7 +34,7 @@
 	latest  [recentRequests]time.Duration // ring
 	count   int                           // number of times that were added
 	longest [2]time.Duration              // of the present period and the one before
-	begun   time.Time                     // begin of the present period
+	begun   time.Time                     // start of the present period
 
 	// afterLong is a ring of the times of requests that followed a long one on their connection. Those that arrive once a planned
 	// stop is drained are such requests, and may be unlike most others of the route.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,14 @@
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
+// position is what the caller of a stream has of it.
+type position struct {
+	lastEventID string // id of the last event that the caller has
+	unnumbered  bool   // the last event that was sent has no id, so that the stream cannot be resumed after it
+	eventBegun  bool   // an event after lastEventID has begun, so that the stream does not end there
+	begunID     string // id of that event; empty if it is not known
+}
+
 // targetStream is the stream of one target for a request.
 type targetStream struct {
 	x        *exchange
@@ -37,11 +45,10 @@
 		x.prompt.Begun()
 		r.ending = ending
 		x.record.setOutcome(OutcomeServed, "")
-	case ending == BrokenStop:
-		x.position = before
+	case x.withheld && ending == BrokenStop:
 		r, err = x.giveUpWithheld()
 	case x.withheld:
-		x.position = before
+		x.position = before // the caller has got nothing
 		r = x.brokenResult(ending)
 	default:
 		s.noteCutEvent()
--- a/internal/gateway/withhold.go
+++ b/internal/gateway/withhold.go
@@ -59,14 +59,6 @@
 	return x.brokenResult(BrokenStop), errNotWithheld
 }
 
-// position is what the caller of a stream has of it.
-type position struct {
-	lastEventID string // id of the last event that the caller has
-	unnumbered  bool   // the last event that was sent has no id, so that the stream cannot be resumed after it
-	eventBegun  bool   // an event after lastEventID has begun, so that the stream does not end there
-	begunID     string // id of that event; empty if it is not known
-}
-
 // withhold keeps a block of the stream back, and reports whether there is memory for it.
 func (s *targetStream) withhold(raw []byte) bool {
 	return len(s.ready)+len(raw) <= maxBufferedBytes && s.x.memory.Grow(int64(len(raw)))
