--- a/internal/node/latestop_test.go
+++ b/internal/node/latestop_test.go
@@ -34,14 +34,30 @@
 	latePause = 20 * time.Millisecond
 	// shortEvents and longEvents are the events of a stream that ends soon, and of one that outlasts the grace period.
 	shortEvents, longEvents = 3, 250
-	// firstEvents are those of a stream that begins before a stop and ends when no new connections are accepted any more.
-	firstEvents = 120
+	// firstEnd is the time from the start of a stop to the end of the streams that began before it. No new connections are
+	// accepted any more then.
+	firstEnd = stopGrace/2 + 200*time.Millisecond
 	// largeBody is an answer that exceeds what the gateway reads before it passes an answer on.
 	largeBody = 300 << 10
 )
 
 // lateBehaviour answers PATH/N with a stream of N events, and PATH/large-N with a large plain answer whose rest follows after N pauses.
-func lateBehaviour(c net.Conn, a target.Arrival) bool {
+// A stream of the route first begins at once and ends when release is closed.
+func lateBehaviour(release <-chan struct{}) target.Behaviour {
+	return func(c net.Conn, a target.Arrival) bool {
+		if !strings.HasPrefix(a.URI, "/first/") {
+			return answerLate(c, a)
+		}
+		event := "id: 1\ndata: a\n\n"
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", target.HeaderID, a.Header.Get(target.HeaderID),
+			target.HeaderStamp, 2*len(event), event)
+		<-release
+		_, err := io.WriteString(c, strings.Replace(event, "1", "2", 1))
+		return err == nil
+	}
+}
+
+func answerLate(c net.Conn, a target.Arrival) bool {
 	last := a.URI[strings.LastIndex(a.URI, "/")+1:]
 	pauses, isLarge := strings.CutPrefix(last, "large-")
 	n, err := strconv.Atoi(pauses)
@@ -71,7 +87,8 @@
 // cuts because its answer takes longer than those of its route did: a stream among short ones, the first one of its route, one that must
 // run once, and plain requests with answers that are passed on as they arrive. Those that can be served must still be.
 func TestLateRequestIsNotCut(t *testing.T) {
-	st, tg := startPlatform(t, lateBehaviour)
+	release := make(chan struct{})
+	st, tg := startPlatform(t, lateBehaviour(release))
 	st.Put("op/config", lateConfig)
 	st.Put("servers/i-1", `{"service":"m","address":"`+tg.Addr+`","zone":"a","version":"v","slots":900,"state":"ready","born":1}`)
 	p := startEntryWithGrace(t, "e1", st.Addr(), stopGrace)
@@ -98,7 +115,7 @@
 	var callers sync.WaitGroup
 	for _, c := range calls {
 		caller := dialCaller(t, p)
-		caller.send(fmt.Sprintf("/first/%d", firstEvents), c.name+" first")
+		caller.send("/first/x", c.name+" first")
 		caller.finish()
 		callers.Go(func() {
 			if a := caller.answer(); a.err != nil || a.closes {
@@ -113,6 +130,7 @@
 	}
 	begun := time.Now()
 	p.stop()
+	time.AfterFunc(firstEnd, func() { close(release) })
 	callers.Wait()
 	p.ended(begun)
 	for _, c := range calls {
