--- a/internal/adapter/peer/endless_test.go
+++ b/internal/adapter/peer/endless_test.go
@@ -26,7 +26,7 @@
 		"string":                {Start: `{"jsonrpc":"2.0","id":"a","result":"`, Again: "a"},
 		"members":               {Start: `{"jsonrpc":"2.0"`, Again: `,"a":1`},
 		"arrays":                {Again: "["},
-		"replies to no call":    {Again: `{"jsonrpc":"2.0","id":"other","result":"` + "a" + `"}` + "\n"},
+		"replies to no call":    {Again: `{"jsonrpc":"2.0","id":"other","result":"a"}` + "\n"},
 		"requests":              {Again: `{"jsonrpc":"2.0","id":1,"method":"m","params":{}}` + "\n"},
 		"notifications":         {Again: `{"jsonrpc":"2.0","method":"m","params":{}}` + "\n"},
 		"replies of many calls": {Start: "[", Again: `{"jsonrpc":"2.0","id":"other","result":"a"},`},
--- a/internal/gateway/withhold.go
+++ b/internal/gateway/withhold.go
@@ -17,9 +17,9 @@
 // errNotWithheld is the error of an answer for which there is no memory while it is withheld.
 var errNotWithheld = errors.New("answer is too long to be withheld until it is complete")
 
-// expectedWithheldTime returns the time for which the stream of the request is withheld at most, if it is like the latest ones. ok is false
-// if it cannot be withheld: its caller waits for the first event meanwhile, and has to send the request elsewhere if the stream is
-// not complete in time. So it must be allowed to run twice, and the latest ones like it must have been short.
+// expectedWithheldTime returns the time for which the stream of the request is withheld at most, if it is like the latest ones.
+// ok is false if it cannot be withheld: its caller waits for the first event meanwhile, and has to send the request elsewhere if
+// the stream is not complete in time. So it must be allowed to run twice, and the latest ones like it must have been short.
 func (x *exchange) expectedWithheldTime() (_ time.Duration, ok bool) {
 	longest, ok := x.g.runTimes.longestLate(x.route)
 	return max(longest, minRetryTime), ok && x.route.Idempotent() && longest <= x.maxWithheldTime()
