node, tcpconn: connections that wait to be accepted have a bound

Cause: the kernel lets each connection fill a buffer of 128 KiB before it is accepted, and thousands may wait. The small buffers of connlimit begin only when a connection is accepted. Ruled out: the load alone (beside 12 busy processes 10 to 18 MB unread, three runs of three tests).

Change: a second listen(2) on each listener of the platform's processes bounds the queue to the places of the listener and to 128 KiB each of a fifth of the memory. The first packet of a connection above the bound is dropped and sent again by the client's system.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -47,6 +47,8 @@
 	Closed func(Reason)
 	// SmallBuffers gives all connections a receive buffer of crowdedBufferBytes.
 	SmallBuffers bool
+	// MaxWaiting is the largest number of connections that wait to be accepted. 0 leaves it to the system.
+	MaxWaiting int
 
 	max          int
 	mu           sync.Mutex
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,7 +22,6 @@
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -115,15 +113,15 @@
 func (e *entry) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
+	callers, err := listen(e.settings.Listen.Callers, e.resources.callerConns)
 	if err != nil {
 		return err
 	}
-	ready, err := net.Listen("tcp", e.settings.Listen.Ready)
+	ready, err := listen(e.settings.Listen.Ready, e.resources.readyConns)
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	control, err := tcpconn.Listen(e.settings.Listen.Control)
+	control, err := e.resources.listenPeers(e.settings.Listen.Control)
 	if err != nil {
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -76,7 +75,7 @@
 	if addr == "" {
 		return
 	}
-	l, err := net.Listen("tcp", addr)
+	l, err := listen(addr, conns)
 	if err != nil {
 		log.WithField("error", err.Error()).Warn("metrics are not served")
 		return
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -15,7 +15,6 @@
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
 	"github.com/camphorbank/camphorbank/internal/routetable"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -78,7 +77,7 @@
 // run serves the coordinators of the group, and registers with the entries until ctx ends.
 func (r *rank) run(ctx context.Context) error {
 	resources := newResources(r.settings)
-	l, err := tcpconn.Listen(r.self.Control)
+	l, err := resources.listenPeers(r.self.Control)
 	if err != nil {
 		return err
 	}
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"os"
 	"runtime/debug"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/metrics"
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 // Shares of the memory of the VM. Connections, garbage and the rest of the process need the other part.
@@ -23,6 +26,10 @@
 	// connMemoryShare is the share for callers' connections, each of which needs connBytes besides its requests.
 	connMemoryShare = 0.2
 	connBytes       = 32 << 10
+	// waitingMemoryShare is the share for connections that wait to be accepted, each of which the system lets fill a buffer of
+	// waitingBytes while the process stands still. Callers and other processes have such a share each.
+	waitingMemoryShare = 0.2
+	waitingBytes       = 128 << 10
 	// heapMemoryShare is the share of the Go heap above which the runtime collects garbage at any cost in processor time.
 	heapMemoryShare = 0.35
 )
@@ -82,9 +89,44 @@
 	r.readyConns = newConnLimit(min(maxMonitorConns, share(monitorShare)), "ready")
 	r.metricsConns = newConnLimit(min(maxMonitorConns, share(monitorShare)), "metrics")
 	r.targetConns = share(targetShare)
+	for _, l := range []*connlimit.Limit{r.callerConns, r.controlConns, r.readyConns, r.metricsConns} {
+		l.MaxWaiting = maxWaiting(l.Max(), s.MemoryBytes)
+	}
 	return r
 }
 
+// maxWaiting returns the number of connections that may wait to be accepted on a listener with a number of places, or 0 for no
+// bound.
+func maxWaiting(places int, memory int64) int {
+	if places == 0 || memory == 0 {
+		return places
+	}
+	return min(places, max(1, int(waitingMemoryShare*float64(memory)/waitingBytes)))
+}
+
+// listen listens on a TCP address with a bound on the connections that wait to be accepted.
+func listen(addr string, conns *connlimit.Limit) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	return limitWaiting(l, err, conns)
+}
+
+// listenPeers does the same for calls of other processes.
+func (r *resources) listenPeers(addr string) (net.Listener, error) {
+	l, err := tcpconn.Listen(addr)
+	return limitWaiting(l, err, r.controlConns)
+}
+
+// limitWaiting bounds the connections that wait on a listener. It passes on the error of the one who has opened it.
+func limitWaiting(l net.Listener, err error, conns *connlimit.Limit) (net.Listener, error) {
+	if err != nil || conns.MaxWaiting == 0 {
+		return l, err
+	}
+	if err := tcpconn.LimitBacklog(l.(*net.TCPListener), conns.MaxWaiting); err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return l, nil
+}
+
 // newPeerServer returns a server of calls of other processes.
 func (r *resources) newPeerServer() *peer.Server {
 	s := peer.NewServer()
--- a/internal/node/resources_test.go
+++ b/internal/node/resources_test.go
@@ -29,6 +29,10 @@
 		if r.controlConns.Max() < processes {
 			t.Errorf("%d MB: %d connections of other processes", s.MemoryBytes/1e6, r.controlConns.Max())
 		}
+		waiting := int64(r.callerConns.MaxWaiting + r.controlConns.MaxWaiting + r.readyConns.MaxWaiting + r.metricsConns.MaxWaiting)
+		if waiting == 0 || waiting*waitingBytes > s.MemoryBytes/2 {
+			t.Errorf("%d MB: %d connections may wait to be accepted", s.MemoryBytes/1e6, waiting)
+		}
 		first, second := r.requests.Lease("a"), r.requests.Lease("b")
 		if !first.Grow(bodyBytes) || !second.Grow(bodyBytes) {
 			t.Errorf("%d MB: two bodies of the largest size do not fit", s.MemoryBytes/1e6)
@@ -41,7 +45,7 @@
 	for _, role := range []Role{RoleEntry, RoleRank} {
 		for files := 1; files <= 2*reservedFiles; files++ {
 			r := newResources(&Settings{Role: role, MemoryBytes: 100e3, MaxFiles: files})
-			if r.callerConns.Max() < 1 || r.controlConns.Max() < 1 || r.readyConns.Max() < 1 || r.metricsConns.Max() < 1 || r.targetConns < 1 {
+			if r.callerConns.Max() < 1 || r.controlConns.Max() < 1 || r.readyConns.Max() < 1 || r.metricsConns.Max() < 1 || r.targetConns < 1 || r.callerConns.MaxWaiting < 1 {
 				t.Fatalf("%s with %d descriptors: a share is no limit", role, files)
 			}
 		}
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -33,6 +33,19 @@
 	return config.Listen(context.Background(), "tcp", addr)
 }
 
+// LimitBacklog bounds the number of connections that wait on a listener to be accepted, of which the system allows thousands.
+// What their clients have sent is held meanwhile, so that they cost memory while the process stands still. The system drops the
+// first packet of a connection above the bound, and the client's system sends it again after about a second.
+func LimitBacklog(l *net.TCPListener, max int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), max) })
+	return errors.Join(err, failed)
+}
+
 // setUserTimeout sets the time for which data may stay unacknowledged on a socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -51,3 +51,36 @@
 		}
 	}
 }
+
+// TestWaitingConnectionsAreBounded guards against connections that fill the memory of a process which does not accept them.
+func TestWaitingConnectionsAreBounded(t *testing.T) {
+	const maxWaiting, more = 8, 20
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if err := LimitBacklog(l.(*net.TCPListener), maxWaiting); err != nil {
+		t.Fatal(err)
+	}
+	open := 0
+	for range maxWaiting + more {
+		if c, err := net.DialTimeout("tcp", l.Addr().String(), 50*time.Millisecond); err == nil {
+			defer c.Close()
+			open++
+		}
+	}
+	if open > maxWaiting+1 { // Linux allows one more
+		t.Errorf("%d connections wait, want %d at most", open, maxWaiting)
+	}
+	for range open {
+		if _, err := l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, err := net.DialTimeout("tcp", l.Addr().String(), 5*time.Second)
+	if err != nil {
+		t.Fatalf("a connection after those that waited were accepted: %v", err)
+	}
+	c.Close()
+}
--- a/test/hostile/connections_test.go
+++ b/test/hostile/connections_test.go
@@ -57,6 +57,15 @@
 	})
 }
 
+// TestCrowdAtFrozenEntry guards against what the kernel holds for connections that wait while the process stands still: all of a
+// crowd's used to fill a buffer each.
+func TestCrowdAtFrozenEntry(t *testing.T) {
+	s := startSystem(t)
+	freeze(t, s.process, 700*time.Millisecond)
+	text := nearlyWhole("/s/x")
+	withstand(t, s.process, s.ordinaryRequests(), &crowd{addr: s.callers, size: crowdSize, reads: true, act: func(c net.Conn, _ int) { send(c, text) }})
+}
+
 // TestCrowdThatLeavesEarly guards against clients that close their connection while a target works for them.
 func TestCrowdThatLeavesEarly(t *testing.T) {
 	text := head("GET", "/l/x") + "\r\n"
--- a/test/hostile/listeners_test.go
+++ b/test/hostile/listeners_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/camphorbank/camphorbank/test/standin/endless"
 )
@@ -55,6 +56,16 @@
 	withstand(t, s.process, s.ordinaryRequests(), &crowd{addr: s.metrics, size: crowdSize, act: httpClients("/metrics")})
 }
 
+// TestCrowdsAtOtherListenersOfFrozenEntry guards against connections that wait at the other listeners of a process that stands
+// still.
+func TestCrowdsAtOtherListenersOfFrozenEntry(t *testing.T) {
+	s := startSystem(t)
+	freeze(t, s.process, 700*time.Millisecond)
+	withstand(t, s.process, s.ordinaryRequests(), &crowd{addr: s.control, size: crowdSize / 3, act: controlClients()},
+		&crowd{addr: s.ready, size: crowdSize / 3, reads: true, act: httpClients("/-/readiness")},
+		&crowd{addr: s.metrics, size: crowdSize / 3, act: httpClients("/metrics")})
+}
+
 // TestCrowdAtControl guards against messages to the control listener that stop just short of their end.
 func TestCrowdAtControl(t *testing.T) {
 	s := startSystem(t)
--- a/test/hostile/process_test.go
+++ b/test/hostile/process_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,6 +170,13 @@
 	return p
 }
 
+// freeze stops a process for a time, which it does not wait for.
+func freeze(t *testing.T, p *process, d time.Duration) {
+	t.Helper()
+	check(t, syscall.Kill(p.PID(), syscall.SIGSTOP))
+	time.AfterFunc(d, func() { _ = syscall.Kill(p.PID(), syscall.SIGCONT) }) // an error means that the process has ended
+}
+
 func portOf(addr string) string { return addr[strings.LastIndexByte(addr, ':')+1:] }
 
 // ordinary is a small request of a client that behaves.
