entry: the answer to a call needs a status of a final answer

A local process of another build (during an upgrade of the fleet) still takes it, ends the answer with it, and the entry passed it on: a call without a status, or with 99, 101, 600 or 999, reached its caller as completed, also that of a booking.

Cause: the entry checked the frames of an answer, but not what the end frame says of the service. Change: the end frame of a call needs a status of 200 to 599; drafts have none. Otherwise the attempt is incomplete: an idempotent call goes to another target, a booking has an unknown outcome. The target of the package's scripted fleet now states 200, as a local process does.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/httphead"
 	"github.com/camphorbank/camphorbank/internal/port"
+	"github.com/camphorbank/camphorbank/internal/stream"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
@@ -88,6 +91,9 @@
 	if err := s.assembler.Add(f); err != nil {
 		return err
 	}
+	if err := s.checkStatus(f); err != nil {
+		return err
+	}
 	if s.firstFrame == 0 {
 		s.firstFrame = s.exec.entry.opt.Clock.Now().Sub(s.startedAt)
 		s.exec.entry.storeIncarnation(s.choice.VM.Name, f.Incarnation)
@@ -107,6 +113,17 @@
 	return nil
 }
 
+// checkStatus returns an error if a frame is the end of a plain service's answer without the status of a final answer.
+func (s *session) checkStatus(f wire.Frame) error {
+	if f.Kind != wire.FrameEnd || s.exec.req.isDraft() {
+		return nil
+	}
+	if err := httphead.CheckFinal(f.Status); err != nil {
+		return fmt.Errorf("%w: %w", stream.ErrIncomplete, err)
+	}
+	return nil
+}
+
 // handleText passes a text frame to the caller.
 func (s *session) handleText(f wire.Frame) error {
 	if err := s.discardEarlierText(1); err != nil {
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -85,7 +86,7 @@
 	if err := onFrame(wire.Frame{ID: id, Kind: wire.FrameText, Text: "whole"}); err != nil {
 		return err
 	}
-	return onFrame(wire.Frame{ID: id, Seq: 1, Kind: wire.FrameEnd, Frames: 1, TextHash: stream.Hash("whole")})
+	return onFrame(wire.Frame{ID: id, Seq: 1, Kind: wire.FrameEnd, Frames: 1, Status: http.StatusOK, TextHash: stream.Hash("whole")})
 }
 
 func (s *scriptedFleet) Resume(ctx context.Context, _ string, _ wire.Resume, _ func(wire.Frame) error) error {
