listwatch, platform: changes that exceed one answer are read as a list

The answer to a watch may have 8 MB. If the changes since the last known revision take more, such as a few large configurations published during an outage, the answer was cut there and could not be decoded, and the same watch was sent again each 0.8 s for good: the process followed neither targets nor configuration any more.

Change: StoreClient.Watch returns ErrTooManyChanges, after which the watcher reads the whole list, which holds the last value of each key only.

--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -16,6 +16,9 @@
 // ErrHistoryGone is returned by a watch if the platform no longer has the changes since the given revision.
 var ErrHistoryGone = errors.New("history is gone")
 
+// ErrTooManyChanges is returned by a watch if the changes since the given revision take more than one answer may hold.
+var ErrTooManyChanges = errors.New("the changes take more than one answer may hold")
+
 // errMixedEras is the error of a reading during which the platform has restored the list from a copy.
 var errMixedEras = errors.New("the list was restored while it was read")
 
@@ -55,7 +58,8 @@
 	// Published returns the configuration and the evacuations in force.
 	Published(ctx context.Context) (Published, error)
 	// Watch returns the changes after a revision as soon as there are any, or no changes if there are none within the
-	// wait. It returns ErrHistoryGone if the platform no longer has the changes since that revision.
+	// wait. It returns ErrHistoryGone if the platform no longer has the changes since that revision, and ErrTooManyChanges if
+	// they are too large. The whole list holds the last one of each key only.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 }
 
@@ -149,6 +153,9 @@
 			w.known = targetset.Position{}
 			continue
 		}
+		if errors.Is(err, ErrTooManyChanges) {
+			w.known = targetset.Position{}
+		}
 		w.notifyLost(err)
 		w.sleep(ctx, delay)
 		delay = min(maxRetryDelay, 2*delay)
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,6 +130,23 @@
 	f.waitFor("removal", func() bool { return f.usableTargets() == 4 })
 }
 
+// TestTooManyChanges guards against a process that never follows the platform again after an outage, since the changes meanwhile
+// take more than one answer may hold.
+func TestTooManyChanges(t *testing.T) {
+	const changes, configBytes = 12, 900 << 10 // in all over 8 MB
+	f := startFollower(t)
+	f.store.SetMode(store.Silent)
+	f.store.Server.CloseClientConnections()
+	for i := range changes {
+		f.store.Put("op/config", fmt.Sprintf(`{"version":%d%s}`, 10+i, strings.Repeat(" ", configBytes)))
+	}
+	f.store.Delete("servers/i-0")
+	f.store.SetMode(store.Up)
+	f.waitFor("list after the outage", func() bool { return f.usableTargets() == 4 && f.tables.Version() == 9+changes })
+	f.store.Delete("servers/i-1")
+	f.waitFor("change after that", func() bool { return f.usableTargets() == 3 })
+}
+
 // TestChangesBetweenPages guards against changes that are lost because they are made while the list is read page by page:
 // of a target that has been read, of one that has not, and of a new one. The store may also drop these changes before the
 // watch after the list asks for them.
