rankgroup: the search of TestMissingFencingIsDetected ends with its find

Change: the share is 50 in 100, the highest of those that TestNoStepWithTwoMaps runs (lateOrderShare), and the search goes on for up to 1,000 runs. What it shows is the same: those runs can find late orders. At one in 75, 1,000 runs have none in two of a million cases.

--- a/internal/rankgroup/coordinator_test.go
+++ b/internal/rankgroup/coordinator_test.go
@@ -337,14 +337,16 @@
 }
 
 // TestMissingFencingIsDetected shows that the runs of TestNoStepWithTwoMaps can find orders that are carried out late:
-// with engines that ignore fencing numbers, and coordinators that do not know it, some steps have two maps.
+// with engines that ignore fencing numbers, and coordinators that do not know it, some steps have two maps. About one run in a
+// hundred has one, and the order of goroutines is not that of the seed, so the search ends with the first.
 func TestMissingFencingIsDetected(t *testing.T) {
+	const maxRuns = 1000
 	t.Parallel()
 	broken := 0
-	for seed := uint64(0); seed < 400 && broken == 0; seed++ {
+	for seed := uint64(0); seed < maxRuns && broken == 0; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(t, seed, smallSize)
-			f.g.Late, f.g.Unfenced = 0.35, true
+			f.g.Late, f.g.Unfenced = 0.5, true
 			f.runWithFaults(seed, 40*time.Second)
 			if f.g.MixedMaps() != nil {
 				broken++
