peer, fleet: the memory that a message takes when it is decoded has a bound

Limits bound the text of messages between processes: 1 MB each, 16 MB for a packed state. A list of empty objects takes many times its text: 262,145 elements of four strings took 16 MB and more from 0.8 MB, and 4 million empty targets in a packed state of some kilobytes hundreds of megabytes.

Change: jsonsize.DecodedBytes estimates the memory from the text, outside of strings. Parameters and replies that may take more than 16 MB, and states above 64 MB, are refused before they are decoded. A message is charged its size and this estimate while it is handled, in place of twice its size. Measured: TestManyEmptyElements (a call and a reply) and TestStateIsSmall failed before; a list of numbers of the largest size passes.

--- a/internal/adapter/peer/memory_test.go
+++ b/internal/adapter/peer/memory_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/camphorbank/camphorbank/internal/connlimit"
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 )
 
@@ -61,3 +65,37 @@
 	s.Close()
 	waitFor(t, "memory is not given back", func() bool { return s.Memory.Held() == 0 && s.Conns.Open() == 0 })
 }
+
+// TestManyEmptyElements guards against a message within its limit that takes many times its size when it is decoded: as the
+// parameters of a call, and as the reply to one.
+func TestManyEmptyElements(t *testing.T) {
+	type element struct{ A, B, C, D string }
+	const few = 8
+	elements := json.RawMessage("[" + strings.Repeat("{},", maxMessageBytes/4) + "{}]")
+	_, addr := startServer(t, func(s *Server) {
+		s.Handle("count", TypedHandler(func(_ context.Context, in []element) (int, error) { return len(in), nil }))
+		s.Handle("sum", TypedHandler(func(_ context.Context, in []int) (n int, _ error) {
+			for _, i := range in {
+				n += i
+			}
+			return n, nil
+		}))
+		s.Handle("list", TypedHandler(func(context.Context, struct{}) (json.RawMessage, error) { return elements, nil }))
+	})
+	var n int
+	var refused *jsonrpc2.Error
+	if err := Call(t.Context(), addr, "count", elements, &n); !errors.As(err, &refused) || refused.Code != jsonrpc2.CodeInvalidParams {
+		t.Errorf("call: %d elements, error %v", n, err)
+	}
+	var list []element
+	if err := Call(t.Context(), addr, "list", struct{}{}, &list); !errors.Is(err, jsonsize.ErrTooLarge) {
+		t.Errorf("reply: %d elements, error %v", len(list), err)
+	}
+	if err := Call(t.Context(), addr, "count", make([]element, few), &n); err != nil || n != few {
+		t.Errorf("call with %d elements: %d, error %v", few, n, err)
+	}
+	numbers := json.RawMessage("[" + strings.Repeat("0,", maxMessageBytes/2-100) + "0]")
+	if err := Call(t.Context(), addr, "sum", numbers, &n); err != nil || n != 0 {
+		t.Errorf("the largest list of numbers: %d, error %v", n, err)
+	}
+}
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/camphorbank/camphorbank/internal/connlimit"
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 )
 
@@ -40,7 +41,7 @@
 func TypedHandler[In, Out any](f func(ctx context.Context, in In) (Out, error)) MethodHandler {
 	return func(ctx context.Context, params json.RawMessage) (any, error) {
 		var in In
-		if err := json.Unmarshal(params, &in); err != nil {
+		if err := jsonsize.Unmarshal(params, maxDecodedBytes, &in); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		return f(ctx, in)
@@ -134,16 +135,17 @@
 	}()
 }
 
-// handlingFactor is the memory that a request needs while it is handled, as a multiple of the size of its parameters: these as
-// text and decoded.
-const handlingFactor = 2
-
-// handlingBytes returns the memory that a request needs while it is handled.
+// handlingBytes returns the memory that a request needs while it is handled: its parameters as text and, unless they are refused as
+// too large, decoded.
 func handlingBytes(r *jsonrpc2.Request) int64 {
 	if r.Params == nil {
 		return 0
 	}
-	return handlingFactor * int64(len(*r.Params))
+	text := int64(len(*r.Params))
+	if decoded := jsonsize.DecodedBytes(*r.Params); decoded <= maxDecodedBytes {
+		return text + decoded
+	}
+	return text
 }
 
 // Close closes all connections and makes the server refuse new ones.
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -17,6 +17,9 @@
 	// maxMessageBytes bounds one message. The largest message is a reply with 160 KB of configuration sections, which
 	// JSON escapes can make six times as long.
 	maxMessageBytes = 1 << 20
+	// maxDecodedBytes bounds the memory that a message takes when it is decoded. A message of the largest size that consists of
+	// numbers takes less.
+	maxDecodedBytes = 16 * maxMessageBytes
 	// writeTimeout bounds each write, so that a peer that does not read cannot block the writer for ever.
 	writeTimeout = 10 * time.Second
 	// firstMessageTimeout bounds the wait for the first message of an accepted connection. The process that connected
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,10 +5,13 @@
 	"compress/flate"
 	"errors"
 	"fmt"
+	"io"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
@@ -132,6 +135,13 @@
 	if _, err := unpack(StateReply{Packed: bomb.Bytes()}); !errors.Is(err, errStateTooLarge) {
 		t.Errorf("a state above the size limit: %v", err)
 	}
+	bomb.Reset()
+	w.Reset(&bomb)
+	_, _ = io.WriteString(w, `{"t":[`+strings.Repeat("{},", maxStateBytes/4)+`{}]}`)
+	_ = w.Close()
+	if _, err := unpack(StateReply{Packed: bomb.Bytes()}); !errors.Is(err, jsonsize.ErrTooLarge) {
+		t.Errorf("a state of many empty targets: %v", err)
+	}
 }
 
 // TestHeartbeatsOfLargeFleet guards against a large fleet that exchanges heartbeats as often as a small one, so that
--- a/internal/fleet/pack.go
+++ b/internal/fleet/pack.go
@@ -7,11 +7,16 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 )
 
-// maxStateBytes bounds the size of a decompressed state, so that a faulty peer cannot exhaust the memory. A
-// configuration of 2,000 routes takes less than a megabyte.
-const maxStateBytes = 16 << 20
+// maxStateBytes bounds the size of a decompressed state, and maxDecodedBytes that of a decoded one, so that a faulty peer cannot
+// exhaust the memory. A configuration of 2,000 routes takes less than a megabyte.
+const (
+	maxStateBytes   = 16 << 20
+	maxDecodedBytes = 64 << 20
+)
 
 var errStateTooLarge = errors.New("state received from a peer is too large")
 
@@ -41,7 +46,7 @@
 	if len(content) > maxStateBytes {
 		return s, errStateTooLarge
 	}
-	if err := json.Unmarshal(content, &s); err != nil {
+	if err := jsonsize.Unmarshal(content, maxDecodedBytes, &s); err != nil {
 		return s, fmt.Errorf("decode state received from a peer: %w", err)
 	}
 	return s, nil
