peer: the memory of a message is estimated while it arrives

Change: jsonsize.Meter takes the bytes as they arrive, on both sides of a connection; above 16 MB the connection is closed, as it is for a text above 1 MB.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -41,7 +41,7 @@
 func TypedHandler[In, Out any](f func(ctx context.Context, in In) (Out, error)) MethodHandler {
 	return func(ctx context.Context, params json.RawMessage) (any, error) {
 		var in In
-		if err := jsonsize.Unmarshal(params, maxDecodedBytes, &in); err != nil {
+		if err := json.Unmarshal(params, &in); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		return f(ctx, in)
@@ -135,17 +135,12 @@
 	}()
 }
 
-// handlingBytes returns the memory that a request needs while it is handled: its parameters as text and, unless they are refused as
-// too large, decoded.
+// handlingBytes returns the memory that a request needs while it is handled: its parameters as text and decoded.
 func handlingBytes(r *jsonrpc2.Request) int64 {
 	if r.Params == nil {
 		return 0
 	}
-	text := int64(len(*r.Params))
-	if decoded := jsonsize.DecodedBytes(*r.Params); decoded <= maxDecodedBytes {
-		return text + decoded
-	}
-	return text
+	return int64(len(*r.Params)) + jsonsize.DecodedBytes(*r.Params)
 }
 
 // Close closes all connections and makes the server refuse new ones.
--- a/internal/adapter/peer/pool.go
+++ b/internal/adapter/peer/pool.go
@@ -4,13 +4,11 @@
 	"cmp"
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/traffic"
 )
 
@@ -168,11 +166,7 @@
 // call sends a request that has a string as its id. The library decodes a missing id of a reply as the number 0. With
 // numeric ids a reply without an id would be taken for the reply to the first call of the connection.
 func call(ctx context.Context, conn *jsonrpc2.Conn, method string, in, out any) error {
-	var result json.RawMessage
-	if err := conn.Call(ctx, method, in, &result, jsonrpc2.StringID()); err != nil || out == nil {
-		return err
-	}
-	return jsonsize.Unmarshal(result, maxDecodedBytes, out)
+	return conn.Call(ctx, method, in, out, jsonrpc2.StringID())
 }
 
 // ignoreRequests ignores requests that the called process sends on the connection.
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/connlimit"
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 )
 
@@ -17,8 +18,7 @@
 	// maxMessageBytes bounds one message. The largest message is a reply with 160 KB of configuration sections, which
 	// JSON escapes can make six times as long.
 	maxMessageBytes = 1 << 20
-	// maxDecodedBytes bounds the memory that a message takes when it is decoded. A message of the largest size that consists of
-	// numbers takes less.
+	// maxDecodedBytes bounds the memory that a message takes when it is decoded. The largest list of numbers takes less.
 	maxDecodedBytes = 16 * maxMessageBytes
 	// writeTimeout bounds each write, so that a peer that does not read cannot block the writer for ever.
 	writeTimeout = 10 * time.Second
@@ -39,7 +39,7 @@
 	errNoMemory = errors.New("peer: no memory for the message")
 )
 
-// newStream returns an object stream that fails on a message above maxMessageBytes, since the library's plain stream
+// newStream returns an object stream that fails on a message above maxMessageBytes or maxDecodedBytes, since the library's plain stream
 // has no limit. Reading fails if no message arrives for the duration idle; 0 means no limit.
 func newStream(c net.Conn, idle time.Duration) *boundedStream {
 	b := &boundedConn{Conn: c, messageBytesLeft: maxMessageBytes}
@@ -110,6 +110,7 @@
 type boundedConn struct {
 	net.Conn
 	messageBytesLeft int
+	decoded          jsonsize.Meter // of the message that is being received
 	slot             *connlimit.Slot
 	memory           *membudget.Lease // of the message that is being received
 }
@@ -120,6 +121,7 @@
 		c.slot.Idle()
 	}
 	c.messageBytesLeft = maxMessageBytes
+	c.decoded.Reset()
 }
 
 func (c *boundedConn) Read(p []byte) (int, error) {
@@ -140,6 +142,9 @@
 		c.slot.NoMemory()
 		return 0, errNoMemory
 	}
+	if c.decoded.Add(p[:n]) > maxDecodedBytes {
+		return 0, errTooLarge
+	}
 	return n, err
 }
 
--- a/internal/jsonsize/jsonsize.go
+++ b/internal/jsonsize/jsonsize.go
@@ -23,41 +23,57 @@
 // textSlack is the part of a text by which the memory for it may exceed its length.
 const textSlack = 8
 
-// DecodedBytes returns the memory that the value of a JSON text takes at most when it is decoded, in bytes.
-func DecodedBytes(text []byte) int64 {
-	n := int64(len(text) + len(text)/textSlack)
+// Meter estimates the memory that the value of a JSON text takes at most when it is decoded, while the text arrives. The zero value
+// is ready for the first byte.
+type Meter struct {
+	bytes    int64
+	inString bool
+	escaped  bool // the last byte was the backslash of an escape in a string
+}
+
+// Add takes the next bytes of the text, and returns the estimate for all so far, in bytes.
+func (m *Meter) Add(text []byte) int64 {
+	m.bytes += int64(len(text) + len(text)/textSlack)
 	for i := 0; i < len(text); i++ {
-		switch text[i] {
-		case '"':
-			i += stringBytes(text[i:]) - 1
-		case '{':
-			n += objectBytes
-		case ':':
-			n += memberBytes
-		case '[':
-			n += arrayBytes
-		case ',':
-			n += elementBytes
+		switch {
+		case m.escaped:
+			m.escaped = false
+		case m.inString:
+			next := bytes.IndexAny(text[i:], `"\`)
+			if next < 0 {
+				return m.bytes
+			}
+			i += next
+			m.inString, m.escaped = text[i] != '"', text[i] == '\\'
+		default:
+			m.inString = text[i] == '"'
+			m.bytes += partBytes(text[i])
 		}
 	}
-	return n
+	return m.bytes
 }
 
-// stringBytes returns the length of the string that a text begins with, or that of the text if the string does not end.
-func stringBytes(text []byte) int {
-	for i := 1; i < len(text); {
-		next := bytes.IndexAny(text[i:], `"\`)
-		if next < 0 {
-			break
-		}
-		if i += next; text[i] == '"' {
-			return i + 1
-		}
-		i += 2
+// Reset begins a new estimate within the text.
+func (m *Meter) Reset() { m.bytes = 0 }
+
+// partBytes returns the memory of the part of a value that a byte outside of strings begins.
+func partBytes(b byte) int64 {
+	switch b {
+	case '{':
+		return objectBytes
+	case ':':
+		return memberBytes
+	case '[':
+		return arrayBytes
+	case ',':
+		return elementBytes
 	}
-	return len(text)
+	return 0
 }
 
+// DecodedBytes returns the memory that the value of a JSON text takes at most when it is decoded, in bytes.
+func DecodedBytes(text []byte) int64 { return new(Meter).Add(text) }
+
 // Unmarshal decodes a text like json.Unmarshal. It returns ErrTooLarge, and decodes nothing, if the value may take more than limit
 // bytes.
 func Unmarshal(text []byte, limit int64, v any) error {
--- a/internal/jsonsize/jsonsize_test.go
+++ b/internal/jsonsize/jsonsize_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -52,6 +53,22 @@
 	return int64(m.HeapAlloc)
 }
 
+// TestMeterTakesPieces guards against an estimate that depends on the pieces in which a text arrives.
+func TestMeterTakesPieces(t *testing.T) {
+	const text = `{"a\\":["\"{[:,",0,{}],"b":"\\\""}`
+	want := DecodedBytes([]byte(text)) - int64(len(text)/textSlack)
+	for n := 1; n < textSlack; n++ {
+		var m Meter
+		got := int64(0)
+		for piece := range slices.Chunk([]byte(text), n) {
+			got = m.Add(piece)
+		}
+		if got != want {
+			t.Errorf("pieces of %d bytes: %d bytes, want %d", n, got, want)
+		}
+	}
+}
+
 // TestUnmarshalRefuses guards against a value above the limit that is decoded, and against strings that count as structure.
 func TestUnmarshalRefuses(t *testing.T) {
 	var out []large
