--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -39,8 +39,8 @@
 	errNoMemory = errors.New("peer: no memory for the message")
 )
 
-// newStream returns an object stream that fails on a message above maxMessageBytes or maxDecodedBytes, since the library's plain stream
-// has no limit. Reading fails if no message arrives for the duration idle; 0 means no limit.
+// newStream returns an object stream that fails on a message above maxMessageBytes or maxDecodedBytes, since the library's plain
+// stream has no limit. Reading fails if no message arrives for the duration idle; 0 means no limit.
 func newStream(c net.Conn, idle time.Duration) *boundedStream {
 	b := &boundedConn{Conn: c, messageBytesLeft: maxMessageBytes}
 	return &boundedStream{conn: b, decoder: json.NewDecoder(b), encoder: json.NewEncoder(b), idleTimeout: idle}
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -128,6 +128,29 @@
 		Attempt: wire.Attempt{Kind: wire.KindCall, Service: "s", Operation: "op", Body: id, Idempotent: idempotent}}
 }
 
+// faultyFirst is a fleet whose target t0 answers attempts for its incarnation with the function, and whose target t1 answers at once.
+type faultyFirst struct {
+	*scriptedFleet
+	answer func(wire.Attempt, func(wire.Frame) error) error
+}
+
+// newFaultyFirst returns such a fleet and an entry whose first choice is t0.
+func newFaultyFirst(answer func(wire.Attempt, func(wire.Frame) error) error) (*faultyFirst, *Entry) {
+	f := &faultyFirst{scriptedFleet: newScriptedFleet(map[string]targetBehaviour{"t0": {}, "t1": {}}), answer: answer}
+	f.vms[1].DataCentre = "far"
+	e := f.entry(1)
+	e.opt.Sender = f
+	e.storeIncarnation("t0", "t0")
+	return f, e
+}
+
+func (f *faultyFirst) Send(ctx context.Context, addr string, a wire.Attempt, onFrame func(wire.Frame) error) error {
+	if addr != "t0" || a.Incarnation == "" {
+		return f.scriptedFleet.Send(ctx, addr, a, onFrame)
+	}
+	return f.answer(a, onFrame)
+}
+
 // TestUnresponsiveTargets guards against waiting for a local process that doesn't respond until the request's deadline,
 // although another target could serve the request, against giving up on a live process that is slow, and against
 // running a booking twice.
--- a/internal/entry/oddstatus_test.go
+++ b/internal/entry/oddstatus_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -12,30 +11,15 @@
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
-// oddStatusFleet is a fleet whose first target passes on an answer of its service with a status, and whose second one answers at once.
-type oddStatusFleet struct {
-	*scriptedFleet
-	status int
-}
-
-func (f *oddStatusFleet) Send(ctx context.Context, addr string, a wire.Attempt, onFrame func(wire.Frame) error) error {
-	if addr != "t0" || a.Incarnation == "" {
-		return f.scriptedFleet.Send(ctx, addr, a, onFrame)
-	}
-	return onFrame(wire.Frame{ID: a.ID, Incarnation: addr, Kind: wire.FrameEnd, Status: f.status, TextHash: stream.Hash("")})
-}
-
 // TestOddStatus guards against an answer with a status like 000 that a local process of another build has taken from a service in
 // trouble, and that the entry passes on as the answer to a call.
 func TestOddStatus(t *testing.T) {
 	for _, status := range []int{0, 99, 101, 600, 999} {
 		for name, idempotent := range map[string]bool{"idempotent": true, "booking": false} {
 			t.Run(fmt.Sprintf("%03d/%s", status, name), func(t *testing.T) {
-				f := &oddStatusFleet{scriptedFleet: newScriptedFleet(map[string]targetBehaviour{"t0": {}, "t1": {}}), status: status}
-				f.vms[1].DataCentre = "far" // so that t0 is the first choice
-				e := f.entry(1)
-				e.opt.Sender = f
-				e.storeIncarnation("t0", "t0")
+				f, e := newFaultyFirst(func(a wire.Attempt, onFrame func(wire.Frame) error) error {
+					return onFrame(wire.Frame{ID: a.ID, Incarnation: "t0", Kind: wire.FrameEnd, Status: status, TextHash: stream.Hash("")})
+				})
 				answer, err := e.Do(t.Context(), f.request(t, "r", idempotent, time.Minute), &collector{})
 				var refusal *Refusal
 				switch {
