rankgroup: no map is planned from a reading of two popularities

Cause: a reading that ends shortly after a shift holds few choices of the new popularity, too few to count as a shift. The coordinator planned a change from that mixture. Loading and arming it takes 100 to 180 ms and its step up to 160 ms more, and no shift is noticed meanwhile, so callers waited for two changes in place of one. Ruled out: the machine (time is virtual, and it shows on an idle one); lost base maps of agents (none in the slow shifts). Distances of readings there: noise at most 1.26 times the usual distance, mixtures and shifts from 2.35 times on, while a shift counts from 2 times the usual distance plus 0.04 on.

Change: a reading whose distance exceeds 1.5 times the usual one puts off the plan, and the next reading follows at once. Noise puts off a plan by one reading at most.

TestNoPlanFromTwoPopularities and TestNoiseDelaysPlanByOneReading fail without the change.

--- a/internal/rankgroup/large_test.go
+++ b/internal/rankgroup/large_test.go
@@ -152,3 +152,73 @@
 		})
 	}
 }
+
+// TestNoPlanFromTwoPopularities guards against a change of the map that is planned from a reading of which a part was made after a
+// shift. The shift itself is not noticed while the map is loaded, and callers wait for two changes in place of one.
+func TestNoPlanFromTwoPopularities(t *testing.T) {
+	const ranks, experts, choices = 8, 64, 100_000
+	rng := rand.New(rand.NewPCG(1, 1))
+	reading := func(shifted float64) []float64 { // shifted is the part of the choices that was made after the shift
+		out := make([]float64, experts)
+		for range choices {
+			e, popular := rng.IntN(experts), 8
+			if rng.Float64() < shifted {
+				popular = 40
+			}
+			if rng.Float64() < 0.25 {
+				e = popular + rng.IntN(4)
+			}
+			out[e]++
+		}
+		return out
+	}
+	engine := smallSize.engine()
+	engine.Experts.Layers, engine.Experts.Count, engine.Experts.SlotsPerRank = 1, experts, experts/ranks*2
+	c := NewCoordinator(Options{Size: ranks, DataCentre: testDataCentre})
+	c.engine, c.estimate = engine, newPopularity(expertmap.Shape{Ranks: ranks, Layers: 1, Experts: experts, SlotsPerRank: experts / ranks * 2})
+	c.currentMap.Slots = [][][]int{make([][]int, ranks)}
+	for e := range experts {
+		c.currentMap.Slots[0][e%ranks] = append(c.currentMap.Slots[0][e%ranks], e)
+	}
+	at := time.Unix(0, 0)
+	read := func(shifted float64) (noticed, planned bool) {
+		at = at.Add(80 * time.Millisecond)
+		c.estimate.decay(at)
+		noticed = c.estimate.add(reading(shifted))
+		_, planned = c.proposePlan()
+		return noticed, planned
+	}
+	unplanned := 0
+	for range 100 {
+		if _, planned := read(0); !planned {
+			unplanned++
+		}
+	}
+	if unplanned > 10 {
+		t.Errorf("%d of 100 readings of the same popularity put off a plan", unplanned)
+	}
+	if noticed, planned := read(0.2); noticed || planned {
+		t.Errorf("a reading with a fifth of the choices after a shift: noticed %t, planned %t, want neither", noticed, planned)
+	}
+	if !c.urgent {
+		t.Error("the next reading does not follow at once")
+	}
+	if noticed, _ := read(1); !noticed {
+		t.Error("the shift was not noticed by the next reading")
+	}
+}
+
+// TestNoiseDelaysPlanByOneReading guards against a map that is never changed since each reading differs more than the ones before.
+func TestNoiseDelaysPlanByOneReading(t *testing.T) {
+	p := newPopularity(expertmap.Shape{Ranks: 1, Layers: 1, Experts: 2, SlotsPerRank: 2})
+	p.add([]float64{1000, 1000})
+	p.usualDistance = 0.02
+	p.add([]float64{1070, 930})
+	if p.settled() {
+		t.Fatal("a reading that differs more than usual is taken for settled")
+	}
+	p.add([]float64{910, 1090})
+	if !p.settled() {
+		t.Error("a second reading delays the plan as well")
+	}
+}
--- a/internal/rankgroup/plan.go
+++ b/internal/rankgroup/plan.go
@@ -36,6 +36,10 @@
 	if !ok {
 		return plan{}, false
 	}
+	if !c.estimate.settled() {
+		c.urgent = true // no shift is noticed while a map is loaded, so the next reading decides first
+		return plan{}, false
+	}
 	shape, paces := c.shape(), c.paces()
 	if expertmap.Imbalance(shape, c.currentMap, loads, paces) < minImbalance {
 		return plan{}, false
--- a/internal/rankgroup/popularity.go
+++ b/internal/rankgroup/popularity.go
@@ -17,6 +17,7 @@
 	weightedCounts []float64 // choices of each expert, layer by layer, with the weights of earlier ones reduced
 	updatedAt      time.Time
 	usualDistance  float64 // mean distance of a reading from the estimate while the popularity does not shift
+	unsettled      bool    // the last reading differs more than usual, but did not count as a shift; see settled
 }
 
 // newPopularity returns an estimate that knows no choices.
@@ -39,10 +40,13 @@
 // popularity has shifted: add then discards the earlier choices and returns true. It also discards the new ones, since
 // some of them were made before the shift.
 func (p *popularity) add(chosen []float64) (shifted bool) {
+	before := p.unsettled
+	p.unsettled = false
 	if p.hasShifted(chosen) {
 		clear(p.weightedCounts)
 		return true
 	}
+	p.unsettled = p.unsettled && !before // noise puts off a plan by one reading at most
 	for i, n := range chosen {
 		p.weightedCounts[i] += n
 	}
@@ -60,6 +64,8 @@
 	// requests a group serves.
 	shiftDistanceFactor = 2
 	minShiftDistance    = 0.04
+	// A reading whose distance exceeds unsettledFactor times the usual distance may be partly of a new popularity.
+	unsettledFactor = 1.5
 	// distanceWeight is the weight of one reading in the usual distance.
 	distanceWeight = 0.1
 )
@@ -82,6 +88,7 @@
 	if distance > shiftDistanceFactor*p.usualDistance+minShiftDistance {
 		return true
 	}
+	p.unsettled = distance > unsettledFactor*p.usualDistance
 	p.usualDistance += distanceWeight * (distance - p.usualDistance)
 	return false
 }
@@ -99,6 +106,10 @@
 	return common, true
 }
 
+// settled reports whether the estimate is one of a single popularity. A reading that ends shortly after a shift holds only a few
+// choices of the new popularity, too few to count as a shift; the next reading tells.
+func (p *popularity) settled() bool { return !p.unsettled }
+
 func total(list []float64) float64 {
 	sum := 0.0
 	for _, n := range list {
