resources: the shares of memory and connections are a package of their own

Change: node/resources.go becomes package resources, with the limits as its parameter in place of node's settings.

Measured: go test ./internal/resources ./internal/node passed.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -19,6 +19,7 @@
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
+	"github.com/camphorbank/camphorbank/internal/resources"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -56,7 +57,7 @@
 	balance       *balance.Balancer
 	cold          *coldstart.Limiter
 	quarantine    *quarantine.Tracker
-	resources     *resources
+	resources     *resources.Resources
 	retries       *retry.FleetBudget
 	pool          *upstream.Pool
 	peers         *peer.Pool
@@ -73,8 +74,8 @@
 func newEntry(s *Settings, a Adapters) *entry {
 	e := &entry{settings: s, adapters: a, tables: &routetable.Store{}, targets: targetset.New(), pool: upstream.NewPool(),
 		peers: &peer.Pool{IdleTimeout: peerIdleTimeout}, stopping: gateway.NewStop(), records: decision.NewRing(maxRecords)}
-	e.resources = newResources(s)
-	e.pool.MaxOpen = e.resources.targetConns
+	e.resources = resources.New(s.limits())
+	e.pool.MaxOpen = e.resources.TargetConns
 	e.current.set(s)
 	e.balance = balance.New(s.DataCentre, time.Now)
 	e.balance.Notify, e.balance.Connected, e.balance.Decided = logBalance, e.pool.Idle, countDecision
@@ -113,36 +114,36 @@
 func (e *entry) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers, err := listen(e.settings.Listen.Callers, e.resources.callerConns)
+	callers, err := resources.Listen(e.settings.Listen.Callers, e.resources.Callers)
 	if err != nil {
 		return err
 	}
-	ready, err := listen(e.settings.Listen.Ready, e.resources.readyConns)
+	ready, err := resources.Listen(e.settings.Listen.Ready, e.resources.Ready)
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	control, err := e.resources.listenPeers(e.settings.Listen.Control)
+	control, err := e.resources.ListenPeers(e.settings.Listen.Control)
 	if err != nil {
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
-	server := e.resources.newPeerServer()
+	server := e.resources.NewPeerServer()
 	e.fleet.Register(server)
 	server.Handle(methodExplain, peer.TypedHandler(e.explainLocal))
 	callerServer := e.newCallerServer()
-	callerListener := httpdrain.New(&gateway.Listener{Listener: callers, Limits: e.limits, Conns: e.resources.callerConns, Memory: e.resources.requests}, callerServer)
+	callerListener := httpdrain.New(&gateway.Listener{Listener: callers, Limits: e.limits, Conns: e.resources.Callers, Memory: e.resources.Requests}, callerServer)
 	group, failed := errgroup.WithContext(ctx)
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
 	readiness := newServer(e.adapters.ReadinessHandler(e.isReady))
-	go func() { _ = readiness.Serve(e.resources.readyConns.Listener(ready)) }() // ends with the process
+	go func() { _ = readiness.Serve(e.resources.Ready.Listener(ready)) }() // ends with the process
 	go func() { _ = server.Serve(background, control) }()
 	go e.watcher.Run(background)
 	go e.fleet.Run(background)
 	go e.upkeep(background)
 	go e.adapters.Reload.run(background, e.settings, e.reload)
-	serveMetrics(background, e.settings.Listen.Metrics, e.resources.metricsConns, map[string]http.HandlerFunc{
+	serveMetrics(background, e.settings.Listen.Metrics, e.resources.Operators, map[string]http.HandlerFunc{
 		"GET /fleet/explain/{id}": e.serveExplain, "GET /fleet/configuration": e.serveConfiguration,
 	})
-	go logClosedForRoom(background)
+	go resources.LogClosedForRoom(background)
 	<-failed.Done()
 	if ctx.Err() != nil {
 		e.stop(background, callerServer, callerListener)
@@ -170,7 +171,7 @@
 func (e *entry) newCallerServer() *http.Server {
 	server := gateway.NewServer(&gateway.Gateway{
 		HeaderTranslator: e.adapters.HeaderTranslator, Tables: e.tables, Targets: e.targets, Balance: e.balance, Retries: e.retries,
-		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.resources.requests, Observe: e.observe, Stop: e.stopping,
+		Pool: e.pool, Quarantine: e.quarantine, Bodies: e.resources.Requests, Observe: e.observe, Stop: e.stopping,
 		Regions: e.settings.Regions,
 	})
 	server.ErrorLog = serverLog
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -16,6 +16,7 @@
 	"github.com/camphorbank/camphorbank/internal/metrics"
 	"github.com/camphorbank/camphorbank/internal/outcome"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/resources"
 	"github.com/camphorbank/camphorbank/internal/targetset"
 )
 
@@ -75,7 +76,7 @@
 	if addr == "" {
 		return
 	}
-	l, err := listen(addr, conns)
+	l, err := resources.Listen(addr, conns)
 	if err != nil {
 		log.WithField("error", err.Error()).Warn("metrics are not served")
 		return
@@ -133,10 +134,10 @@
 	metrics.SetGauge("entries_live", int64(live))
 	metrics.SetGauge("entries_known", int64(known))
 	metrics.SetGauge("requests_in_flight", int64(sumCounts(e.balance.InFlight())))
-	metrics.SetGauge("request_body_bytes", e.resources.requests.Held())
+	metrics.SetGauge("request_body_bytes", e.resources.Requests.Held())
 	metrics.SetGauge("cold_targets", int64(e.cold.ColdTargets(time.Now())))
 	metrics.SetGauge("quarantined_parts", int64(e.quarantine.Quarantined()))
-	metrics.SetGauge("caller_connections", int64(e.resources.callerConns.Open()))
+	metrics.SetGauge("caller_connections", int64(e.resources.Callers.Open()))
 	metrics.SetGauge("target_connections_opened", e.pool.Dials())
 	for _, p := range e.balance.Places() {
 		metrics.SetGauge("free_places/"+p.Service, int64(p.Free))
--- a/internal/node/rank.go
+++ b/internal/node/rank.go
@@ -14,6 +14,7 @@
 	"github.com/camphorbank/camphorbank/internal/adapter/peer"
 	"github.com/camphorbank/camphorbank/internal/fleet"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/resources"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
@@ -76,12 +77,12 @@
 
 // run serves the coordinators of the group, and registers with the entries until ctx ends.
 func (r *rank) run(ctx context.Context) error {
-	resources := newResources(r.settings)
-	l, err := resources.listenPeers(r.self.Control)
+	shares := resources.New(r.settings.limits())
+	l, err := shares.ListenPeers(r.self.Control)
 	if err != nil {
 		return err
 	}
-	server := resources.newPeerServer()
+	server := shares.NewPeerServer()
 	server.Handle(methodRead, peer.TypedHandler(r.agent.Read))
 	server.Handle(methodOrder, peer.TypedHandler(r.agent.Order))
 	relay := rankgroup.Relay{Ranks: r, Knows: r.knowsRank}
@@ -94,8 +95,8 @@
 	defer stop()
 	go func() { _ = server.Serve(background, l) }() // ends with the process
 	go r.adapters.Reload.run(background, r.settings, func(s *Settings) { r.client.SetSeeds(s.Seeds) })
-	serveMetrics(background, r.settings.Listen.Metrics, resources.metricsConns, nil)
-	go logClosedForRoom(background)
+	serveMetrics(background, r.settings.Listen.Metrics, shares.Operators, nil)
+	go resources.LogClosedForRoom(background)
 	r.runRegistration(ctx)
 	server.Close()
 	return nil
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,6 +10,7 @@
 	"github.com/camphorbank/camphorbank/internal/gateway"
 	"github.com/camphorbank/camphorbank/internal/listwatch"
 	"github.com/camphorbank/camphorbank/internal/rankgroup"
+	"github.com/camphorbank/camphorbank/internal/resources"
 	"github.com/camphorbank/camphorbank/internal/version"
 )
 
@@ -31,7 +32,7 @@
 		"version": version.Version, "node": s.Name, "role": s.Role, "data_centre": s.DataCentre, "callers": s.Listen.Callers,
 		"control": s.Listen.Control, "engine": s.LocalEngine, "first_start": s.FirstStart, "memory": s.MemoryBytes,
 	}).Info("starting")
-	s.limitHeap()
+	resources.LimitHeap(s.MemoryBytes)
 	started := time.Now()
 	var err error
 	if s.Role == RoleEntry {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,7 +4,11 @@
 // settings, and writes log lines and metrics.
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/camphorbank/camphorbank/internal/resources"
+)
 
 // Role is the function of a process.
 type Role string
@@ -33,6 +37,11 @@
 	MaxFiles    int    // descriptors that the process may have open; 0 if unstated
 }
 
+// limits returns the limits of memory and connections.
+func (s *Settings) limits() resources.Limits {
+	return resources.Limits{MemoryBytes: s.MemoryBytes, Sockets: resources.SocketsWithin(s.MaxFiles), NoCallers: s.Role == RoleRank}
+}
+
 // PortRange is an inclusive range of ports.
 type PortRange struct{ First, Last int }
 
--- a/internal/node/resources.go
+++ b/internal/resources/resources.go
@@ -1,4 +1,5 @@
-package node
+// Package resources divides the memory and the connections of a process between those who use it, as its settings limit them.
+package resources
 
 import (
 	"context"
@@ -34,63 +35,74 @@
 	heapMemoryShare = 0.35
 )
 
-// Shares of the descriptors that are left for sockets. The rest is for the listeners, the store and calls to other processes.
+// Shares of the sockets. The rest is for the listeners, the platform and calls to other processes.
 const (
-	// reservedFiles is the number of descriptors that the platform reserves for files.
-	reservedFiles = 200
-	callerShare   = 0.35
+	callerShare = 0.35
 	// targetShare is above callerShare: each request that runs needs one connection to a target, and others are idle.
 	targetShare  = 0.4
 	controlShare = 0.12
-	// rankControlShare is the share in a process that has no callers.
-	rankControlShare = 0.6
-	// maxMonitorConns and monitorShare bound the connections for readiness and those for metrics.
+	// soleControlShare is the share of other processes in a process that has no callers.
+	soleControlShare = 0.6
+	// maxMonitorConns and monitorShare bound the connections for readiness and those for metrics or operators.
 	maxMonitorConns = 32
 	monitorShare    = 1.0 / 16
+	// reservedFiles is the number of descriptors that the platform reserves for files.
+	reservedFiles = 200
 )
 
-// resources are the memory and the connections of a process that others use, as its settings limit them.
-type resources struct {
-	requests *membudget.Budget // callers' requests; nil for no bound
-	control  *membudget.Budget // messages of other processes; nil for no bound
-
-	callerConns, controlConns, readyConns, metricsConns *connlimit.Limit
-	targetConns                                         int // 0 for no bound
+// Limits are the limits that the settings of a process state.
+type Limits struct {
+	MemoryBytes int64 // of the VM; 0 for no limit
+	Sockets     int   // 0 for no limit
+	NoCallers   bool  // only other processes and operators use the process
 }
 
-// newResources divides the memory and the descriptors that the settings state.
-func newResources(s *Settings) *resources {
-	r := &resources{}
-	if s.MemoryBytes > 0 {
-		r.requests = newBudget(s.MemoryBytes, requestMemoryShare, "request")
-		r.control = newBudget(s.MemoryBytes, controlMemoryShare, "message")
+// SocketsWithin returns the number of sockets of a process that may have that many descriptors open, or 0 if those are unlimited.
+func SocketsWithin(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
 	}
-	sockets := 0
-	if s.MaxFiles > 0 {
-		sockets = max(1, s.MaxFiles-reservedFiles)
+	return max(1, descriptors-reservedFiles)
+}
+
+// Resources are the shares of a process.
+type Resources struct {
+	Requests *membudget.Budget // memory for callers' requests; nil for no bound
+	Messages *membudget.Budget // memory for messages of other processes; nil for no bound
+
+	Callers, Control, Ready, Operators *connlimit.Limit // connections of the listeners
+	TargetConns                        int              // connections to targets; 0 for no bound
+}
+
+// New divides what the limits allow.
+func New(limits Limits) *Resources {
+	r := &Resources{}
+	if limits.MemoryBytes > 0 {
+		r.Requests = newBudget(limits.MemoryBytes, requestMemoryShare, "request")
+		r.Messages = newBudget(limits.MemoryBytes, controlMemoryShare, "message")
 	}
 	share := func(part float64) int {
-		if sockets == 0 {
+		if limits.Sockets == 0 {
 			return 0
 		}
-		return max(1, int(part*float64(sockets))) // 0 would be no limit
+		return max(1, int(part*float64(limits.Sockets))) // 0 would be no limit
 	}
 	control := share(controlShare)
-	if s.Role == RoleRank {
-		control = share(rankControlShare)
+	if limits.NoCallers {
+		control = share(soleControlShare)
 	}
 	callers := share(callerShare)
-	if s.MemoryBytes > 0 && callers > 0 {
-		callers = min(callers, max(1, int(connMemoryShare*float64(s.MemoryBytes)/connBytes)))
+	if limits.MemoryBytes > 0 && callers > 0 {
+		callers = min(callers, max(1, int(connMemoryShare*float64(limits.MemoryBytes)/connBytes)))
 	}
-	r.callerConns = newConnLimit(callers, "callers")
-	r.controlConns = newConnLimit(control, "control")
-	r.controlConns.SmallBuffers = true // messages are short
-	r.readyConns = newConnLimit(min(maxMonitorConns, share(monitorShare)), "ready")
-	r.metricsConns = newConnLimit(min(maxMonitorConns, share(monitorShare)), "metrics")
-	r.targetConns = share(targetShare)
-	for _, l := range []*connlimit.Limit{r.callerConns, r.controlConns, r.readyConns, r.metricsConns} {
-		l.MaxWaiting = maxWaiting(l.Max(), s.MemoryBytes)
+	r.Callers = newConnLimit(callers, "callers")
+	r.Control = newConnLimit(control, "control")
+	r.Control.SmallBuffers = true // messages are short
+	r.Ready = newConnLimit(min(maxMonitorConns, share(monitorShare)), "ready")
+	r.Operators = newConnLimit(min(maxMonitorConns, share(monitorShare)), "metrics")
+	r.TargetConns = share(targetShare)
+	for _, l := range []*connlimit.Limit{r.Callers, r.Control, r.Ready, r.Operators} {
+		l.MaxWaiting = maxWaiting(l.Max(), limits.MemoryBytes)
 	}
 	return r
 }
@@ -104,16 +116,16 @@
 	return min(places, max(1, int(waitingMemoryShare*float64(memory)/waitingBytes)))
 }
 
-// listen listens on a TCP address with a bound on the connections that wait to be accepted.
-func listen(addr string, conns *connlimit.Limit) (net.Listener, error) {
+// Listen listens on a TCP address with a bound on the connections that wait to be accepted.
+func Listen(addr string, conns *connlimit.Limit) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	return limitWaiting(l, err, conns)
 }
 
-// listenPeers does the same for calls of other processes.
-func (r *resources) listenPeers(addr string) (net.Listener, error) {
+// ListenPeers does the same for calls of other processes.
+func (r *Resources) ListenPeers(addr string) (net.Listener, error) {
 	l, err := tcpconn.Listen(addr)
-	return limitWaiting(l, err, r.controlConns)
+	return limitWaiting(l, err, r.Control)
 }
 
 // limitWaiting bounds the connections that wait on a listener. It passes on the error of the one who has opened it.
@@ -127,10 +139,10 @@
 	return l, nil
 }
 
-// newPeerServer returns a server of calls of other processes.
-func (r *resources) newPeerServer() *peer.Server {
+// NewPeerServer returns a server of calls of other processes.
+func (r *Resources) NewPeerServer() *peer.Server {
 	s := peer.NewServer()
-	s.Conns, s.Memory = r.controlConns, r.control
+	s.Conns, s.Memory = r.Control, r.Messages
 	return s
 }
 
@@ -148,18 +160,19 @@
 	return l
 }
 
-// limitHeap makes the Go runtime keep the process below the memory of the VM. An operator's GOMEMLIMIT takes precedence.
-func (s *Settings) limitHeap() {
-	if s.MemoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes)))
+// LimitHeap makes the Go runtime keep the process below the memory of the VM, unless that is 0. An operator's GOMEMLIMIT takes
+// precedence.
+func LimitHeap(memoryBytes int64) {
+	if memoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(heapMemoryShare * float64(memoryBytes)))
 	}
 }
 
 // roomLogInterval is the least time between two log lines about what was closed to make room.
 const roomLogInterval = time.Second
 
-// logClosedForRoom logs what was closed or refused to make room for others, in one line for each interval, until ctx ends.
-func logClosedForRoom(ctx context.Context) {
+// LogClosedForRoom logs what was closed or refused to make room for others, in one line for each interval, until ctx ends.
+func LogClosedForRoom(ctx context.Context) {
 	tick := time.NewTicker(roomLogInterval)
 	defer tick.Stop()
 	logged := map[string]int64{}
