daemon: clients of the own interface cannot use up memory and connections

Seen: three red tests of KNOWN-RED.txt. 400 clients with bodies that lack their last byte, heads and requests sent ahead take an entry with the own interface to 414.0 MB resident and 410 sockets, its operators' listener to 104.3 MB, a local process to 428.7 MB.

Cause: the bounds of memory and connections (connlimit, membudget) were wired into the platform's processes only. At the own interface nothing counted what arrives: each body up to 2 MB was read as far as it came, and a stalled one kept its place.

Change: settings limits.memory_mb (1024) and limits.sockets (8192), divided by package resources as on the platform. Listeners for callers, data, operators and control close a connection that is not needed for a new one; the bodies of callers' requests and of attempts are read within the budget before the handler runs (reqbody.Handler), and a stalled one gives its memory to a request that needs it. A request without memory is refused with 503 memory-used-up; a call of a service as unknown, since its ticket was not read. The deadline of a body that does not arrive stays set until its connection is closed; before, the server read its rest without a limit of time. The three tests set both limits to the bounds that they check, which had no settings before, as those of the platform do.

--- a/internal/adapter/caller/caller.go
+++ b/internal/adapter/caller/caller.go
@@ -10,6 +10,7 @@
 	api "github.com/camphorbank/camphorbank/gen/camphorbank"
 	"github.com/camphorbank/camphorbank/internal/config"
 	"github.com/camphorbank/camphorbank/internal/entry"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/outcome"
 	"github.com/camphorbank/camphorbank/internal/port"
 	"github.com/camphorbank/camphorbank/internal/wire"
@@ -21,7 +22,8 @@
 	Config *config.Store
 	Clock  port.Clock
 
-	WriteTimeout time.Duration // limit for each write to a caller; 0 means 10 s
+	WriteTimeout time.Duration     // limit for each write to a caller; 0 means 10 s
+	Memory       *membudget.Budget // for callers' requests; nil for no bound
 }
 
 var _ api.Service = (*Service)(nil)
--- a/internal/adapter/caller/caller_test.go
+++ b/internal/adapter/caller/caller_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/config"
 	"github.com/camphorbank/camphorbank/internal/entry"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/outcome"
 	"github.com/camphorbank/camphorbank/internal/port"
 	"github.com/camphorbank/camphorbank/internal/stream"
@@ -83,6 +84,12 @@
 func (fakeTarget) Incarnation(context.Context, string) (string, error) { return "t1.1", nil }
 
 func newServer(t *testing.T, tg fakeTarget) *httptest.Server {
+	t.Helper()
+	return newServerWithin(t, tg, nil)
+}
+
+// newServerWithin returns a server like newServer with a bound on the memory for requests.
+func newServerWithin(t *testing.T, tg fakeTarget, memory *membudget.Budget) *httptest.Server {
 	t.Helper()
 	doc := `revision = 1
 preset_in_force = "p"
@@ -99,7 +106,7 @@
 	}
 	store := &config.Store{}
 	store.Offer(snap)
-	svc := &Service{WriteTimeout: 300 * time.Millisecond, Config: store, Clock: port.SystemClock{}, Entry: entry.New(entry.Options{
+	svc := &Service{Memory: memory, WriteTimeout: 300 * time.Millisecond, Config: store, Clock: port.SystemClock{}, Entry: entry.New(entry.Options{
 		Fleet: tg, Sender: tg, Control: tg, Clock: port.SystemClock{}, Tickets: ticket.NewSealer([]byte("k")),
 	})}
 	srv := httptest.NewServer(svc.Handler())
@@ -248,3 +255,28 @@
 		}
 	}
 }
+
+// TestOutcomeWithoutMemory guards against a call that may have run with its ticket before, and is answered as not run since its body
+// was not read.
+func TestOutcomeWithoutMemory(t *testing.T) {
+	const size = 64 << 10
+	memory := membudget.New(2 * size)
+	if !memory.Lease("other").Grow(size) {
+		t.Fatal("no memory for the other request")
+	}
+	srv := newServerWithin(t, fakeTarget{}, memory)
+	body := `{"body":"` + strings.Repeat("x", size) + `"}`
+	for path, want := range map[string]struct {
+		status  int
+		outcome string
+	}{"/v1/drafts": {503, "not-run"}, "/v1/drafts/stream": {503, "not-run"}, "/v1/services/s/book": {502, "unknown"}} {
+		res, _ := send(t, srv, "POST", path, body, "demo-key")
+		h := res.Header
+		if res.StatusCode != want.status || h.Get(headerOutcome) != want.outcome || h.Get(headerReason) != "memory-used-up" || h.Get("Retry-After") != "1" {
+			t.Errorf("%s: %s with headers %v", path, res.Status, h)
+		}
+	}
+	if res, _ := send(t, srv, "POST", "/v1/drafts", `{"model":"m","max_tokens":5,"prompt":"x"}`, "demo-key"); res.StatusCode != 200 {
+		t.Errorf("a small request: %s", res.Status)
+	}
+}
--- a/internal/adapter/caller/handler.go
+++ b/internal/adapter/caller/handler.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -16,6 +17,7 @@
 	"github.com/camphorbank/camphorbank/gen/http/camphorbank/server"
 	"github.com/camphorbank/camphorbank/internal/entry"
 	"github.com/camphorbank/camphorbank/internal/outcome"
+	"github.com/camphorbank/camphorbank/internal/reqbody"
 )
 
 const (
@@ -40,7 +42,36 @@
 	}
 	srv := server.New(api.NewEndpoints(s), mux, newBodyDecoder, goahttp.ResponseEncoder, nil, s.formatError)
 	server.Mount(mux, srv)
-	return withReply(mux, cmp.Or(s.WriteTimeout, defaultWriteTimeout))
+	bounded := reqbody.Handler(mux, reqbody.Bounds{Memory: s.Memory, Bytes: maxBodyBytes, Time: bodyTimeout, Account: s.accountName,
+		Refuse: s.refuseUnread})
+	return withReply(bounded, cmp.Or(s.WriteTimeout, defaultWriteTimeout))
+}
+
+// accountName returns the name of the client account of a request, or an empty one if its key belongs to none.
+func (s *Service) accountName(r *http.Request) string {
+	snapshot := s.Config.Current()
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if snapshot == nil || !ok {
+		return ""
+	}
+	if a := snapshot.AccountByKey(key); a != nil {
+		return a.Name
+	}
+	return ""
+}
+
+// memoryRetryAfter is the time after which a caller may try again whose request the process had no memory for.
+const memoryRetryAfter = time.Second
+
+// refuseUnread refuses a request for whose body the process has no memory. Whether a call has a ticket is not known then, so that
+// its outcome is that of a call with one.
+func (s *Service) refuseUnread(w http.ResponseWriter, r *http.Request) {
+	refusal := &entry.Refusal{Outcome: outcome.NotRun, Reason: outcome.MemoryUsedUp, RequestID: requestIDFromContext(r.Context()),
+		Message: "the process has no memory for the request at present", RetryAfter: memoryRetryAfter}
+	if strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		refusal.Outcome = outcome.Unknown
+	}
+	s.writeRefusal(w, refusal, 0)
 }
 
 // refuseUnrouted returns a handler that refuses every request with the status and message.
@@ -48,32 +79,31 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		refusal := &entry.Refusal{Outcome: outcome.NotRun, Reason: outcome.Invalid, RequestID: requestIDFromContext(r.Context()),
 			Message: fmt.Sprintf("%s %.100s: %s", r.Method, r.URL.Path, message)}
-		s.Entry.Refuse(refusal)
-		var body *api.Refusal
-		_ = errors.As(refusalError(refusal), &body)
-		setRefusalHeaders(w.Header(), body)
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(newRefusalBody(body))
+		s.writeRefusal(w, refusal, status)
 	}
 }
 
+// writeRefusal counts a refusal and answers a request with it. A status of 0 is that of the refusal.
+func (s *Service) writeRefusal(w http.ResponseWriter, refusal *entry.Refusal, status int) {
+	s.Entry.Refuse(refusal)
+	var r *api.Refusal
+	_ = errors.As(refusalError(refusal), &r)
+	body := newRefusalBody(r)
+	setRefusalHeaders(w.Header(), r)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(cmp.Or(status, body.StatusCode()))
+	_ = json.NewEncoder(w).Encode(body)
+}
+
 // bodyDecoder decodes a request body that must consist of one JSON value. An unknown field is an error, so that a
 // misspelt deadline or ticket is not ignored.
 type bodyDecoder struct{ r *http.Request }
 
 func newBodyDecoder(r *http.Request) goahttp.Decoder { return bodyDecoder{r} }
 
-// Decode reads the body into v within the limits of size and time.
+// Decode decodes the body into v.
 func (d bodyDecoder) Decode(v any) error {
-	rep := replyFromContext(d.r.Context())
-	if rep != nil {
-		_ = rep.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-		// After the body, net/http keeps reading to detect that the caller disconnects. The deadline must not end this.
-		defer func() { _ = rep.controller.SetReadDeadline(time.Time{}) }()
-	}
-	body := http.MaxBytesReader(rep, d.r.Body, maxBodyBytes)
-	dec := json.NewDecoder(body)
+	dec := json.NewDecoder(http.MaxBytesReader(nil, d.r.Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return decodeError(err)
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -95,12 +95,27 @@
 	if s == nil {
 		return nil, false
 	}
-	if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok && l.needsSmallBuffer() {
-		_ = buffered.SetReadBuffer(crowdedBufferBytes)
+	if l.needsSmallBuffer() {
+		setReadBuffer(c, crowdedBufferBytes)
 	}
 	return s, true
 }
 
+// setReadBuffer sets the size of the receive buffer of a connection or of the one that it wraps.
+func setReadBuffer(c net.Conn, bytes int) {
+	for c != nil {
+		if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok {
+			_ = buffered.SetReadBuffer(bytes)
+			return
+		}
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		c = outer.NetConn()
+	}
+}
+
 func (l *Limit) admit(c net.Conn) (s, victim *Slot, reason Reason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -1,13 +1,15 @@
 package connlimit
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 )
 
 // Listener returns a listener of which at most max connections are open. The slots of its connections follow the states that
-// an http.Server with the hook ConnState reports.
+// an http.Server with the hook ConnState reports. It may be wrapped by listeners whose connections have the method NetConn, as
+// those with TLS do.
 func (l *Limit) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, limit: l}
 }
@@ -49,9 +51,51 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the sending side, if the connection that is wrapped can do that.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// wrapped returns c or the connection of a Limit's Listener that it wraps, or nil if there is none.
+func wrapped(c net.Conn) *conn {
+	for {
+		if c, ok := c.(*conn); ok {
+			return c
+		}
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = outer.NetConn()
+	}
+}
+
 // ConnState is a hook of an http.Server for the connections of a Limit's Listener.
 func ConnState(c net.Conn, s http.ConnState) {
-	if c, ok := c.(*conn); ok && s == http.StateIdle {
+	if c := wrapped(c); c != nil && s == http.StateIdle {
 		c.slot.Idle()
 	}
 }
+
+// slotKey is the context key of the slot of a request's connection.
+type slotKey struct{}
+
+// ConnContext is a hook of an http.Server, with which SlotOf knows the connections of a Limit's Listener.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if c := wrapped(c); c != nil {
+		return context.WithValue(ctx, slotKey{}, c.slot)
+	}
+	return ctx
+}
+
+// SlotOf returns the slot of the connection on which a request has arrived, or nil, which has no limit.
+func SlotOf(r *http.Request) *Slot {
+	s, _ := r.Context().Value(slotKey{}).(*Slot)
+	return s
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -11,7 +11,7 @@
 
 // newPeerServer returns the server of the control protocol, with the methods that the role of the process answers.
 func (d *daemon) newPeerServer() *peer.Server {
-	s := peer.NewServer()
+	s := d.resources.NewPeerServer()
 	s.Handle(wire.MethodStatus, peer.TypedHandler(func(context.Context, struct{}) (status.Process, error) { return d.status(), nil }))
 	s.Handle(wire.MethodConfigHead, peer.TypedHandler(d.sync.OnHead))
 	s.Handle(wire.MethodConfigFetch, peer.TypedHandler(d.sync.OnFetch))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/camphorbank/camphorbank/internal/local"
 	"github.com/camphorbank/camphorbank/internal/membership"
 	"github.com/camphorbank/camphorbank/internal/report"
+	"github.com/camphorbank/camphorbank/internal/resources"
 	"github.com/camphorbank/camphorbank/internal/rollout"
 	"github.com/camphorbank/camphorbank/internal/settings"
 	"github.com/camphorbank/camphorbank/internal/version"
@@ -39,6 +40,9 @@
 // gracefully.
 func Run(ctx context.Context, s *settings.Settings) error {
 	d := &daemon{settings: s, incarnation: newIncarnation(s.Name), config: &config.Store{}, started: time.Now()}
+	memoryBytes := int64(s.Limits.MemoryMB) * 1e6
+	d.resources = resources.New(resources.Limits{MemoryBytes: memoryBytes, Sockets: s.Limits.Sockets})
+	resources.LimitHeap(memoryBytes)
 	var err error
 	if d.tls, err = loadTLS(s); err != nil {
 		return err
@@ -47,7 +51,7 @@
 	d.setUpPlatform()
 	log.WithFields(log.Fields{
 		"version": version.Version, "role": s.Role, "name": s.Name, "incarnation": d.incarnation,
-		"callers": s.Listen.Callers, "data": s.Listen.Data, "control": s.Listen.Control, "operators": s.Listen.Operators,
+		"memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets, "callers": s.Listen.Callers, "data": s.Listen.Data, "control": s.Listen.Control, "operators": s.Listen.Operators,
 	}).Info("starting")
 	return d.run(ctx)
 }
@@ -55,6 +59,7 @@
 // daemon is one process. Parts that its role doesn't have are nil.
 type daemon struct {
 	settings        *settings.Settings
+	resources       *resources.Resources
 	incarnation     string
 	tls             tlsConfigs
 	config          *config.Store
@@ -98,6 +103,7 @@
 	if d.rollout != nil {
 		go d.rollout.Run(background)
 	}
+	go resources.LogClosedForRoom(background)
 	d.alarms = d.newAlarms()
 	go d.alarms.Run(background)
 	peerServer := d.newPeerServer()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -33,7 +33,7 @@
 		Service:   d.serviceRecorder,
 		Responded: d.view.Responded,
 	})
-	svc := &caller.Service{Entry: d.entry, Config: d.config, Clock: port.SystemClock{}}
+	svc := &caller.Service{Entry: d.entry, Config: d.config, Clock: port.SystemClock{}, Memory: d.resources.Requests}
 	return svc.Handler()
 }
 
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -9,8 +8,9 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/camphorbank/camphorbank/internal/connlimit"
+	"github.com/camphorbank/camphorbank/internal/resources"
 	"github.com/camphorbank/camphorbank/internal/settings"
-	"github.com/camphorbank/camphorbank/internal/tcpconn"
 	"github.com/camphorbank/camphorbank/internal/traffic"
 )
 
@@ -37,18 +37,19 @@
 	return c, err
 }
 
-// listen opens a listener, with TLS unless conf is nil.
-func listen(addr string, conf *tls.Config) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+// listen opens a listener for a limited number of connections, with TLS unless conf is nil.
+func listen(addr string, conns *connlimit.Limit, conf *tls.Config) (net.Listener, error) {
+	l, err := resources.Listen(addr, conns)
 	if err != nil {
 		return nil, err
 	}
-	return withTLS(l, conf), nil
+	return withTLS(conns.Listener(l), conf), nil
 }
 
-// listenControl opens the control listener like listen, and counts its traffic.
-func listenControl(addr string, conf *tls.Config) (net.Listener, error) {
-	l, err := tcpconn.Listen(addr)
+// listenControl opens the control listener, with TLS unless conf is nil, and counts its traffic. Its server limits the
+// connections.
+func (d *daemon) listenControl(addr string, conf *tls.Config) (net.Listener, error) {
+	l, err := d.resources.ListenPeers(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -71,20 +72,21 @@
 // that port, this one fails before it opens any other listener.
 func (d *daemon) openListeners(workAddr string, workTLS *tls.Config) (s listeners, err error) {
 	l := d.settings.Listen
-	if s.control, err = listenControl(l.Control, d.tls.peers); err != nil {
+	if s.control, err = d.listenControl(l.Control, d.tls.peers); err != nil {
 		return s, errorx.Decorate(err, "control listener")
 	}
-	if s.work, err = listen(workAddr, workTLS); err != nil {
+	if s.work, err = listen(workAddr, d.resources.Callers, workTLS); err != nil {
 		return s, errorx.Decorate(err, "work listener")
 	}
-	if s.operators, err = listen(l.Operators, d.tls.operators); err != nil {
+	if s.operators, err = listen(l.Operators, d.resources.Operators, d.tls.operators); err != nil {
 		return s, errorx.Decorate(err, "operators' listener")
 	}
 	return s, nil
 }
 
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		ConnState: connlimit.ConnState, ConnContext: connlimit.ConnContext}
 }
 
 // serve runs a server on a listener. It returns nil after the server was shut down.
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -26,6 +26,7 @@
 	opt := local.Options{
 		Incarnation: d.incarnation, Clock: port.SystemClock{}, Slots: t.Slots, Revision: d.revision,
 		Policy: admission.PolicySource(d.config), Leaving: d.leaving, Refusals: outcome.NewCounters("refusals"),
+		Memory: d.resources.Requests,
 	}
 	if t.Kind == wire.KindDraft {
 		engine := enginehttp.New(t.URL)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/reqbody"
 	"github.com/camphorbank/camphorbank/internal/upstream"
 )
 
@@ -70,8 +71,8 @@
 	if x.withheld {
 		limit = maxWithheldBytes
 	}
-	body, err = readWithinMemory(resp.Body, length, int64(limit), x.memory)
-	if errors.Is(err, errNoMemory) {
+	body, err = reqbody.Read(resp.Body, length, int64(limit), x.memory)
+	if errors.Is(err, reqbody.ErrNoMemory) {
 		return body, true, nil
 	}
 	return body, len(body) == limit, err
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/camphorbank/camphorbank/internal/balance"
 	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/quarantine"
+	"github.com/camphorbank/camphorbank/internal/reqbody"
 	"github.com/camphorbank/camphorbank/internal/retry"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 	"github.com/camphorbank/camphorbank/internal/targetset"
@@ -190,7 +191,7 @@
 	case err != nil && x.memory.Revoked():
 		x.refuseStalled()
 		return false
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, reqbody.ErrNoMemory):
 		x.w.Header().Set("Connection", "close") // the rest of the body is not read
 		x.refuse(http.StatusServiceUnavailable, ReasonMemory, memoryRetryAfter)
 		return false
@@ -216,7 +217,7 @@
 		return nil, err
 	}
 	interrupted := x.interruptBody()
-	body, err := readWithinMemory(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit+1, x.memory)
+	body, err := reqbody.Read(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit+1, x.memory)
 	if interrupted() && err != nil {
 		return nil, errStopping
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -13,6 +13,7 @@
 	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
 	"github.com/camphorbank/camphorbank/internal/membudget"
+	"github.com/camphorbank/camphorbank/internal/reqbody"
 	"github.com/camphorbank/camphorbank/internal/routetable"
 )
 
@@ -118,7 +119,7 @@
 	c.slot.Received(n)
 	if !c.takeHeadMemory(p[:n]) {
 		c.slot.NoMemory()
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: reqbody.ErrNoMemory}
 	}
 	c.memory.Received(n)
 	return n, err
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -248,11 +248,7 @@
 
 // readable reports whether bytes have arrived that have not been read.
 func (c *conn) readable() bool {
-	inner := c.Conn
-	if t, ok := inner.(interface{ NetConn() net.Conn }); ok { // a connection with TLS, or another wrapper
-		inner = t.NetConn()
-	}
-	raw, ok := inner.(syscall.Conn)
+	raw, ok := innermost(c.Conn).(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -267,6 +263,20 @@
 	return err == nil && n > 0
 }
 
+// innermost returns the connection that c wraps, through TLS and other wrappers, or c itself.
+func innermost(c net.Conn) net.Conn {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
+	}
+}
+
+// NetConn returns the connection that is wrapped.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side. The server does so after an answer that it gives before it has read the whole
 // request, so that the caller can read the answer.
 func (c *conn) CloseWrite() error {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -10,6 +10,7 @@
 
 	"github.com/camphorbank/camphorbank/internal/admission"
 	"github.com/camphorbank/camphorbank/internal/attempt"
+	"github.com/camphorbank/camphorbank/internal/membudget"
 	"github.com/camphorbank/camphorbank/internal/outcome"
 	"github.com/camphorbank/camphorbank/internal/port"
 	"github.com/camphorbank/camphorbank/internal/wire"
@@ -27,6 +28,7 @@
 	Leaving     func() bool               // reports whether the VM list marks the process's own VM as leaving
 	Serves      func(adapter string) bool // reports whether the engine has loaded the adapter; nil if the target has none
 	Refusals    *outcome.Counters
+	Memory      *membudget.Budget // for attempts that are received or run; nil for no bound
 }
 
 // Local is a local process, which runs attempts at its target.
--- a/internal/local/server.go
+++ b/internal/local/server.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"math"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/attempt"
+	"github.com/camphorbank/camphorbank/internal/reqbody"
 	"github.com/camphorbank/camphorbank/internal/wire"
 )
 
@@ -14,7 +16,8 @@
 	// maxAttemptBytes bounds the encoded body of an attempt. It leaves room for one text of the largest size, in which
 	// JSON encodes each control character in six bytes, and for the other fields, such as names of at most 200 characters.
 	maxAttemptBytes = 6*wire.MaxTextBytes + 64<<10
-	// bodyReadTimeout bounds the time to read a request body.
+	// bodyReadTimeout bounds the time to read a request body. The server's ReadTimeout would also end responses that stream for
+	// longer.
 	bodyReadTimeout = 5 * time.Second
 	// frameWriteTimeout bounds the write of one frame, so that an entry that doesn't read its response doesn't occupy a
 	// connection and its handler for long.
@@ -26,7 +29,19 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.AttemptPath, l.serveAttempt)
 	mux.HandleFunc("POST "+wire.ResumePath, l.serveResume)
-	return mux
+	return reqbody.Handler(mux, reqbody.Bounds{Memory: l.opt.Memory, Bytes: maxAttemptBytes, Time: bodyReadTimeout, Account: senderHost,
+		Refuse: func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "no memory for the request at present", http.StatusServiceUnavailable)
+		}})
+}
+
+// senderHost returns the address of the VM that has sent a request, whose requests share memory like those of an account.
+func senderHost(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
 }
 
 func (l *Local) serveAttempt(w http.ResponseWriter, r *http.Request) {
@@ -72,18 +87,13 @@
 	l.writeFrames(w, r, run, q.ID, q.FromSeq)
 }
 
-// readJSON decodes a request body into v and reports whether that succeeded; if not, it has answered the request. It
-// sets a read deadline for the body alone, since the server's ReadTimeout would also end responses that stream for
-// longer.
+// readJSON decodes a request body into v and reports whether that succeeded; if not, it has answered the request.
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAttemptBytes)).Decode(v)
 	if err != nil {
 		http.Error(w, "malformed request: "+err.Error(), http.StatusBadRequest)
 		return false
 	}
-	_ = controller.SetReadDeadline(time.Time{})
 	return true
 }
 
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -38,7 +38,9 @@
 	// NewProxy, if set, is called for each new node before its process starts. It may start a proxy in front of the node's
 	// listeners and replace the node's addresses in the VM list by those of the proxy. Its result is kept in Node.Proxy.
 	NewProxy func(vm *wire.VM) (any, error)
-	mu       sync.Mutex // guards Processes while several nodes are restarted concurrently
+	// Limits is the limits table of the settings files, or empty for the defaults.
+	Limits string
+	mu     sync.Mutex // guards Processes while several nodes are restarted concurrently
 
 	tls, callersTLS string      // lines of the tls table in the settings files; empty for plain TCP
 	operatorTLS     *tls.Config // nil for plain TCP
@@ -197,10 +199,10 @@
 		n.VM.Name, n.VM.DataCentre, strings.Repeat("ab", 32))
 }
 
-// platformAndTLSSettings returns the platform and tls tables of the settings file.
+// platformAndTLSSettings returns the platform, tls and limits tables of the settings file.
 func (f *Fleet) platformAndTLSSettings(role, reader string) string {
 	return fmt.Sprintf("[platform]\nconfig_url = \"%s/readers/%s/config\"\nvm_list_url = \"%s/vms?reader=%s\"\n",
-		f.Platform, reader, f.Platform, reader) + f.tlsSettings(role)
+		f.Platform, reader, f.Platform, reader) + f.tlsSettings(role) + f.Limits
 }
 
 func (f *Fleet) startNode(n *Node, body string) error {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -44,6 +44,7 @@
 	Stopping         Reason = "stopping"
 	PresetClosed     Reason = "preset-closed"
 	NotLoaded        Reason = "not-loaded"
+	MemoryUsedUp     Reason = "memory-used-up" // by the requests in progress
 )
 
 // Reasons returns all reasons.
@@ -52,7 +53,7 @@
 		Unauthenticated, Invalid, UnknownModel, UnknownService, AccountLimit, QueueFull,
 		DeadlineTooNear, DeadlinePassed, Draining, NoTarget, RetryBudget, WrongIncarnation,
 		Revoked, TicketInvalid, TicketExpired, TicketClosed, TicketMismatch, TargetFailed,
-		StreamBroken, ConnectFailed, Incomplete, CallerLeft, Stopping, PresetClosed, NotLoaded,
+		StreamBroken, ConnectFailed, Incomplete, CallerLeft, Stopping, PresetClosed, NotLoaded, MemoryUsedUp,
 	}
 }
 
--- a/internal/gateway/body.go
+++ b/internal/reqbody/read.go
@@ -1,4 +1,5 @@
-package gateway
+// Package reqbody reads the bodies of HTTP messages within the memory that the process has for them.
+package reqbody
 
 import (
 	"errors"
@@ -15,12 +16,12 @@
 	statedBodyBytes = 64 << 10
 )
 
-// errNoMemory is the error of reading more than the process has memory for at present.
-var errNoMemory = errors.New("no memory for the request")
+// ErrNoMemory is the error of reading more than the process has memory for at present.
+var ErrNoMemory = errors.New("no memory for the request")
 
-// readWithinMemory reads a body to its end, or its first limit bytes. The length is -1 if it is not known. It takes the
+// Read reads a body to its end, or its first limit bytes. The length is -1 if it is not known. It takes the
 // memory that the body needs from the lease before it is allocated. What was read is also returned with an error.
-func readWithinMemory(from io.Reader, length, limit int64, memory *membudget.Lease) (body []byte, _ error) {
+func Read(from io.Reader, length, limit int64, memory *membudget.Lease) (body []byte, _ error) {
 	for {
 		if len(body) == cap(body) {
 			size := int(min(nextBufferBytes(int64(cap(body)), length), limit))
@@ -28,7 +29,7 @@
 				return body, nil
 			}
 			if !memory.Grow(int64(size - cap(body))) {
-				return body, errNoMemory
+				return body, ErrNoMemory
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,13 @@
 	Platform   Platform        `toml:"platform"`
 	Target     Target          `toml:"target" default:""` // local only
 	TLS        TLS             `toml:"tls"`
+	Limits     Limits          `toml:"limits" default:""`
+}
+
+// Limits bound what clients can make the process use. Package resources divides them.
+type Limits struct {
+	MemoryMB int `toml:"memory_mb" default:"1024" min:"64" max:"1048576"` // memory of the VM for the process, in units of 10^6 bytes
+	Sockets  int `toml:"sockets" default:"8192" min:"64" max:"1048576"`   // connections that the process has open at once, its own included
 }
 
 // Listen holds the addresses that the process listens on, of the form IP:PORT.
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -50,6 +50,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that is wrapped.
+func (c countedConn) NetConn() net.Conn { return c.Conn }
+
 // countedListener is a net.Listener that wraps accepted connections with CountConn.
 type countedListener struct{ net.Listener }
 
--- a/test/hostile/own_test.go
+++ b/test/hostile/own_test.go
@@ -22,7 +22,8 @@
 // startOwnFleet starts an entry and a local process beside a model engine.
 func startOwnFleet(t *testing.T) (entry, local *process) {
 	t.Helper()
-	f := &localfleet.Fleet{Dir: t.TempDir(), Bin: binDir}
+	f := &localfleet.Fleet{Dir: t.TempDir(), Bin: binDir,
+		Limits: fmt.Sprintf("[limits]\nmemory_mb = %d\nsockets = %d\n", ownMemoryMB, ownMaxSockets)}
 	t.Cleanup(func() {
 		if err := f.Stop(); err != nil {
 			t.Log(err)
