--- a/internal/adapter/rankhttp/endless_test.go
+++ b/internal/adapter/rankhttp/endless_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/port"
 	"github.com/camphorbank/camphorbank/test/standin/endless"
 )
@@ -29,3 +35,26 @@
 
 // smallReplyBytes is more than any of these replies needs before its decoding fails.
 const smallReplyBytes = 1 << 20
+
+// TestManyEmptyElements guards against a reply within its limit that takes many times its size when it is decoded, and against the
+// refusal of a large sound one.
+func TestManyEmptyElements(t *testing.T) {
+	const ranks, layers = 128, 1024
+	layer := "[" + strings.Repeat("[100,101,102],", ranks-1) + "[100,101,102]]"
+	sound := `{"slots":[` + strings.Repeat(layer+",", layers-1) + layer + "]}"
+	empty := `{"tokens":[` + strings.Repeat("[],", maxReplyBytes/4) + "[]]}"
+	for _, c := range []struct {
+		path, reply string
+		call        func(context.Context, *Client) error
+		want        error
+	}{
+		{PathMap, sound, clientCalls["map"], nil},
+		{PathPopularity, empty, clientCalls["popularity"], jsonsize.ErrTooLarge},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, c.reply) }))
+		if err := c.call(t.Context(), New(s.URL)); !errors.Is(err, c.want) {
+			t.Errorf("%s, %d bytes: %v, want %v", c.path, len(c.reply), err, c.want)
+		}
+		s.Close()
+	}
+}
--- a/internal/adapter/rankhttp/rankhttp.go
+++ b/internal/adapter/rankhttp/rankhttp.go
@@ -14,12 +14,15 @@
 	"time"
 
 	"github.com/camphorbank/camphorbank/internal/httpclient"
+	"github.com/camphorbank/camphorbank/internal/jsonsize"
 	"github.com/camphorbank/camphorbank/internal/port"
 )
 
 const (
 	// maxReplyBytes bounds a reply. A map of 128 ranks, 60 layers and 3 slots has about 100 KB.
 	maxReplyBytes = 16 << 20
+	// maxDecodedBytes bounds the memory that a decoded reply takes. A map of 128 ranks, 1,024 layers and 3 slots is charged 18 MB.
+	maxDecodedBytes = 32 << 20
 	// maxCommandReplyBytes bounds the reply to a command, which holds a reason at most.
 	maxCommandReplyBytes = 64 << 10
 	// maxReasonBytes bounds the part of the engine's reason for a refused command that goes into the error.
@@ -136,5 +139,5 @@
 		_, err := httpclient.ReadReply(res.Body, maxCommandReplyBytes)
 		return err
 	}
-	return json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(result)
+	return json.NewDecoder(jsonsize.LimitReader(io.LimitReader(res.Body, maxReplyBytes), maxDecodedBytes)).Decode(result)
 }
--- a/internal/jsonsize/jsonsize.go
+++ b/internal/jsonsize/jsonsize.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 )
 
 // ErrTooLarge is the error of a text that would take more memory than its limit.
@@ -82,3 +83,21 @@
 	}
 	return json.Unmarshal(text, v)
 }
+
+// LimitReader returns a reader of the JSON text that r returns. It fails with ErrTooLarge where the values of the text may take more
+// than limit bytes, which a decoder meets before it decodes a value.
+func LimitReader(r io.Reader, limit int64) io.Reader { return &limitedReader{reader: r, limit: limit} }
+
+type limitedReader struct {
+	reader io.Reader
+	limit  int64
+	meter  Meter
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	n, err := l.reader.Read(p)
+	if taken := l.meter.Add(p[:n]); taken > l.limit {
+		return 0, fmt.Errorf("%w: up to %d bytes and more, %d are allowed", ErrTooLarge, taken, l.limit)
+	}
+	return n, err
+}
