reqbody: a connection may be closed for another one only after the answer is written

Cause, found by reading: a request counted as ended when its handler returned, but the server writes the rest of the answer after that. In a crowd a caller could have lost the end of its answer.

Change: the request ends when the server states that the connection is idle, as on the platform.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -69,6 +69,8 @@
 	since    time.Time // of the stage
 	received int64     // bytes of the present request
 	running  int       // requests that run
+	// untilIdle means that one of these has ended once the connection is idle.
+	untilIdle bool
 }
 
 type stage int
@@ -170,7 +172,13 @@
 
 // Idle records that the connection waits for a request.
 func (s *Slot) Idle() {
-	s.update(func() { s.enter(stageIdle) })
+	s.update(func() {
+		s.enter(stageIdle)
+		if s.untilIdle {
+			s.untilIdle = false
+			s.running--
+		}
+	})
 }
 
 // Received records that n bytes have arrived.
@@ -197,6 +205,15 @@
 	return ok
 }
 
+// RunUntilIdle is like Run for a request that has ended once Idle is called: its answer has been written then, which is after its
+// handler has returned.
+func (s *Slot) RunUntilIdle() (ok bool) {
+	if ok = s.Run(); ok {
+		s.update(func() { s.untilIdle = true })
+	}
+	return ok
+}
+
 // Done records that a request for which Run has returned true has ended.
 func (s *Slot) Done() { s.update(func() { s.running-- }) }
 
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// TestAnswerIsWrittenBeforeItsConnectionIsClosed guards against an answer that is cut off for a new connection after its handler has
+// returned, while the server still writes it.
+func TestAnswerIsWrittenBeforeItsConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, closed := New(1), 0
+		s, _ := l.Admit(&testConn{closed: func() { closed++ }})
+		for range 2 {
+			s.Received(1)
+			if !s.RunUntilIdle() {
+				t.Fatal("the request may not run")
+			}
+			time.Sleep(2 * graceTime)
+			if _, ok := l.Admit(&testConn{}); ok || closed != 0 {
+				t.Fatalf("a second connection is admitted: %t, %d are closed", ok, closed)
+			}
+			s.Idle()
+		}
+		if _, ok := l.Admit(&testConn{}); !ok || closed != 1 {
+			t.Errorf("a second connection is admitted beside an idle one: %t, %d are closed", ok, closed)
+		}
+	})
+}
+
 // TestSlotsAreGivenBack guards against closed connections that use up the limit.
 func TestSlotsAreGivenBack(t *testing.T) {
 	l := New(2)
--- a/internal/reqbody/handler.go
+++ b/internal/reqbody/handler.go
@@ -29,8 +29,8 @@
 }
 
 // Handler returns a handler that reads the body of each request within the bounds before next handles it. An error of reading
-// is returned to next where the body ends. From then on the request runs, and its connection is not closed to make room for
-// another one. The server needs the hooks of package connlimit for that.
+// is returned to next where the body ends. From then on until its answer has been written, the connection of the request is not closed
+// to make room for another one. The server needs the hooks of package connlimit for that.
 func Handler(next http.Handler, b Bounds) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		slot := connlimit.SlotOf(r)
@@ -42,10 +42,9 @@
 			b.Refuse(w, r)
 			return
 		}
-		if !slot.Run() {
+		if !slot.RunUntilIdle() {
 			return // the connection is being closed
 		}
-		defer slot.Done()
 		next.ServeHTTP(w, r)
 	})
 }
