listwatch: changes that do not arrive in the time of a watch are read as a list

What operators could see: after an outage of the store an entry on a slow link follows neither targets nor configurations any more, as long as the changes since then take more than 0.7 s to be collected or sent (0.5 MB at 6 Mbit/s).

The calls, traced: the watch after the outage ended with "context deadline exceeded" two to five times in a row, before or in its body, and each time the same changes were asked for again.

Cause: a watch without a wait has 0.7 s; one that ran out of it was repeated for good.

Change: after three watches in a row that are not answered in time, or after one of which a part arrived, the list is read once; the known revision is kept until that succeeds. A silent platform gets one list for three watches.

--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -19,6 +19,9 @@
 // ErrTooManyChanges is returned by a watch if the changes since the given revision take more than one answer may hold.
 var ErrTooManyChanges = errors.New("the changes take more than one answer may hold")
 
+// ErrSlowChanges is returned by a watch if only a part of the changes since the given revision has arrived in time.
+var ErrSlowChanges = errors.New("the changes do not arrive in time")
+
 // errMixedEras is the error of a reading during which the platform has restored the list from a copy.
 var errMixedEras = errors.New("the list was restored while it was read")
 
@@ -58,8 +61,9 @@
 	// Published returns the configuration and the evacuations in force.
 	Published(ctx context.Context) (Published, error)
 	// Watch returns the changes after a revision as soon as there are any, or no changes if there are none within the
-	// wait. It returns ErrHistoryGone if the platform no longer has the changes since that revision, and ErrTooManyChanges if
-	// they are too large. The whole list holds the last one of each key only.
+	// wait. It returns ErrHistoryGone if the platform no longer has the changes since that revision, ErrTooManyChanges if they
+	// are too large, and ErrSlowChanges or context.DeadlineExceeded if they take too long. The whole list holds the last one of
+	// each key only.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 }
 
@@ -78,6 +82,10 @@
 	// delay doubles with each failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
+	// maxUnanswered is the number of watches in a row that are not answered in time, after which the list is read once. The
+	// changes may be too many to be collected or sent in that time, whereas a platform that is silent answers neither. One watch
+	// of which a part has arrived is enough.
+	maxUnanswered = 3
 )
 
 // Watcher keeps the targets and the configuration of a process up to date.
@@ -93,6 +101,7 @@
 
 	known         targetset.Position // up to which changes are known; zero if the whole list must be read
 	unreachable   bool               // the latest call to the platform failed
+	unanswered    int                // watches that were not answered in time, since the last other result
 	readsPlatform atomic.Bool
 }
 
@@ -186,9 +195,11 @@
 	}
 }
 
-// readOrWatch reads the whole list if no revision is known, and otherwise waits for changes and applies them.
+// readOrWatch reads the whole list if no revision is known, or if the changes have not come in time again and again. Otherwise it
+// waits for changes and applies them.
 func (w *Watcher) readOrWatch(ctx context.Context) error {
-	if !w.known.Known() {
+	if !w.known.Known() || w.unanswered >= maxUnanswered {
+		w.unanswered = 0
 		return w.readAll(ctx)
 	}
 	wait := maxWatchWait
@@ -196,6 +207,14 @@
 		wait = 0 // the call returns at once and shows whether the platform answers again
 	}
 	c, err := w.Source.Watch(ctx, w.known.Revision, wait)
+	switch {
+	case errors.Is(err, ErrSlowChanges):
+		w.unanswered = maxUnanswered
+	case errors.Is(err, context.DeadlineExceeded):
+		w.unanswered++
+	default:
+		w.unanswered = 0
+	}
 	if err != nil {
 		return err
 	}
