reqbody: a request on a connection that is being closed gets no empty answer

Change: the handler aborts the request, as the platform's does.

Measured: TestNoAnswerOnClosedConnection fails without the change ("the handler ended with <nil>").

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,7 +51,8 @@
 	d.setUpPlatform()
 	log.WithFields(log.Fields{
 		"version": version.Version, "role": s.Role, "name": s.Name, "incarnation": d.incarnation,
-		"memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets, "callers": s.Listen.Callers, "data": s.Listen.Data, "control": s.Listen.Control, "operators": s.Listen.Operators,
+		"memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets,
+		"callers": s.Listen.Callers, "data": s.Listen.Data, "control": s.Listen.Control, "operators": s.Listen.Operators,
 	}).Info("starting")
 	return d.run(ctx)
 }
--- a/internal/reqbody/handler.go
+++ b/internal/reqbody/handler.go
@@ -43,7 +43,7 @@
 			return
 		}
 		if !slot.RunUntilIdle() {
-			return // the connection is being closed
+			panic(http.ErrAbortHandler) // the connection is being closed; the server would write an empty answer
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/reqbody/handler_test.go
+++ b/internal/reqbody/handler_test.go
@@ -168,3 +168,31 @@
 		t.Errorf("the idle connection was closed as %s", r)
 	}
 }
+
+// TestNoAnswerOnClosedConnection guards against an empty answer with status 200 to a request whose connection has been chosen to be
+// closed before it ran.
+func TestNoAnswerOnClosedConnection(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := connlimit.New(1).Listener(inner).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	r := httptest.NewRequest(http.MethodGet, "/", nil).WithContext(connlimit.ConnContext(t.Context(), c))
+	defer func() {
+		if reason := recover(); reason != http.ErrAbortHandler {
+			t.Errorf("the handler ended with %v, want %v", reason, http.ErrAbortHandler)
+		}
+	}()
+	reqbody.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request runs") }), reqbody.Bounds{}).
+		ServeHTTP(httptest.NewRecorder(), r)
+}
