httpdrain: a stop ends although its listener has no place for another connection

What callers could see: a planned stop that begins while the requests of all places run (limits of connections) keeps its listener open until it is cut off: on the platform to the end of the grace period, at the own interface for up to an hour, and callers go on connecting to a process that wants to leave.

Cause, found by reading while the own interface got such limits: before the listener is closed, the stop opens a connection of its own and waits until the server has it, so that those before it are accepted. A listener without a place accepts that connection and closes it, and the server never has it.

Change: the end of that connection counts as accepted, since only the listener closes it.

Measured: TestShutdownWithoutPlaces failed without the change (ended after its limit of 5 s) and passes in 0.1 s; httpdrain and node passed with the race detector.

--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -117,7 +117,7 @@
 
 // awaitBacklog waits until the server has accepted the connections that are established, since those that it has not accepted
 // are reset when the listener is closed. Connections are accepted in their order, so it opens one and waits for that one until
-// ctx ends: a busy machine may take seconds to accept them.
+// ctx ends: a busy machine may take seconds to accept them. A listener that has no place for that one accepts and closes it.
 func (l *Listener) awaitBacklog(ctx context.Context) {
 	var d net.Dialer
 	last, err := d.DialContext(ctx, l.Addr().Network(), l.Addr().String())
@@ -125,11 +125,18 @@
 		return // the listener is closed, or its backlog is full
 	}
 	defer last.Close()
+	closed := make(chan struct{})
+	go func() {
+		_, _ = last.Read(make([]byte, 1)) // no byte is sent to a connection without a request
+		close(closed)
+	}()
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
 	for !l.hasAccepted(last.LocalAddr()) {
 		select {
 		case <-tick.C:
+		case <-closed:
+			return
 		case <-ctx.Done():
 			return
 		}
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/camphorbank/camphorbank/internal/connlimit"
 	"github.com/camphorbank/camphorbank/internal/httpdrain"
 )
 
@@ -51,15 +52,23 @@
 func startServer(t *testing.T) *server { return startSlowServer(t, 0) }
 
 func startSlowServer(t *testing.T, acceptDelay time.Duration) *server {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	return startServerOn(t, slowListener{listen(t), acceptDelay})
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := slowListener{inner, acceptDelay}
-	s := &server{Server: &http.Server{ReadHeaderTimeout: 300 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(w, "ok")
-	})}}
+	return l
+}
+
+func startServerOn(t *testing.T, l net.Listener) *server {
+	s := &server{Server: &http.Server{ReadHeaderTimeout: 300 * time.Millisecond, ConnState: connlimit.ConnState,
+		ConnContext: connlimit.ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, "ok")
+		})}}
 	s.listener = httpdrain.New(l, s.Server)
 	done := make(chan struct{})
 	go func() {
@@ -199,3 +208,37 @@
 		t.Error(err)
 	}
 }
+
+// TestShutdownWithoutPlaces guards against a shutdown that goes on until it is cut off, since the listener has no place for another
+// connection while the requests of all others run.
+func TestShutdownWithoutPlaces(t *testing.T) {
+	limit := connlimit.New(1)
+	s := startServerOn(t, limit.Listener(listen(t)))
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	running, end := make(chan struct{}), make(chan struct{})
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connlimit.SlotOf(r).RunUntilIdle()
+		close(running)
+		<-end
+		handler.ServeHTTP(w, r)
+	})
+	_, _ = io.WriteString(c, request)
+	<-running
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	done, started := make(chan error, 1), time.Now()
+	go func() { done <- s.listener.Shutdown(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	close(end)
+	if !(&caller{c, bufio.NewReader(c)}).answered() {
+		t.Error("the request that ran was not answered")
+	}
+	if err := <-done; err != nil || time.Since(started) > 2*time.Second {
+		t.Errorf("ended after %v with %v", time.Since(started), err)
+	}
+}
