gateway: a request on a connection ends by Slot.RunUntilIdle

The gateway's connection kept a flag of its own that its request runs, and gave the slot back when the connection became idle. Since reqbody needed the same, connlimit.Slot does that; the gateway now calls it and the flag is gone. Nothing that a caller sees changes.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -82,7 +82,7 @@
 		x.refuseStalled()
 		return false
 	}
-	if x.conn != nil && !x.conn.startRun() {
+	if x.conn != nil && !x.conn.slot.RunUntilIdle() {
 		x.record.setOutcome(OutcomeLeft, ReasonClosed)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -100,7 +100,6 @@
 	limits  func() routetable.Limits
 	slot    *connlimit.Slot
 	memory  *membudget.Lease // of the present request
-	running bool             // the present request runs, or its answer is being written; for the server's goroutine only
 	took    time.Duration    // time that the last request took; for the server's goroutine only
 	expired atomic.Bool      // the memory was taken back
 
@@ -157,18 +156,8 @@
 	c.receive()
 }
 
-// startRun states that the request runs until its answer has been written. It returns false if the connection is being closed.
-func (c *limitedConn) startRun() bool {
-	c.running = c.slot.Run()
-	return c.running
-}
-
 // awaitRequest states that the answer of a request has been written and that the next request may arrive.
 func (c *limitedConn) awaitRequest() {
-	if c.running {
-		c.running = false
-		c.slot.Done()
-	}
 	c.slot.Idle()
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
