tcpconn: one way to find what a connection wraps

Three loops walked through connections with NetConn: for the receive buffer and for the limited connection in connlimit, and for the socket in httpdrain. tcpconn.As replaces them, with the wanted type as its parameter. Behaviour is the same.

Checked: connlimit, httpdrain, reqbody (which has a test through TLS) and tcpconn with the race detector.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -15,6 +15,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -97,27 +99,12 @@
 	if s == nil {
 		return nil, false
 	}
-	if l.needsSmallBuffer() {
-		setReadBuffer(c, crowdedBufferBytes)
+	if buffered, ok := tcpconn.As[interface{ SetReadBuffer(bytes int) error }](c); ok && l.needsSmallBuffer() {
+		_ = buffered.SetReadBuffer(crowdedBufferBytes)
 	}
 	return s, true
 }
 
-// setReadBuffer sets the size of the receive buffer of a connection or of the one that it wraps.
-func setReadBuffer(c net.Conn, bytes int) {
-	for c != nil {
-		if buffered, ok := c.(interface{ SetReadBuffer(bytes int) error }); ok {
-			_ = buffered.SetReadBuffer(bytes)
-			return
-		}
-		outer, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return
-		}
-		c = outer.NetConn()
-	}
-}
-
 func (l *Limit) admit(c net.Conn) (s, victim *Slot, reason Reason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 // Listener returns a listener of which at most max connections are open. The slots of its connections follow the states that
@@ -62,23 +64,9 @@
 	return nil
 }
 
-// wrapped returns c or the connection of a Limit's Listener that it wraps, or nil if there is none.
-func wrapped(c net.Conn) *conn {
-	for {
-		if c, ok := c.(*conn); ok {
-			return c
-		}
-		outer, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		c = outer.NetConn()
-	}
-}
-
 // ConnState is a hook of an http.Server for the connections of a Limit's Listener.
 func ConnState(c net.Conn, s http.ConnState) {
-	if c := wrapped(c); c != nil && s == http.StateIdle {
+	if c, ok := tcpconn.As[*conn](c); ok && s == http.StateIdle {
 		c.slot.Idle()
 	}
 }
@@ -88,7 +76,7 @@
 
 // ConnContext is a hook of an http.Server, with which SlotOf knows the connections of a Limit's Listener.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if c := wrapped(c); c != nil {
+	if c, ok := tcpconn.As[*conn](c); ok {
 		return context.WithValue(ctx, slotKey{}, c.slot)
 	}
 	return ctx
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/camphorbank/camphorbank/internal/tcpconn"
 )
 
 const (
@@ -255,7 +257,7 @@
 
 // readable reports whether bytes have arrived that have not been read.
 func (c *conn) readable() bool {
-	raw, ok := innermost(c.Conn).(syscall.Conn)
+	raw, ok := tcpconn.As[syscall.Conn](c.Conn)
 	if !ok {
 		return false
 	}
@@ -270,17 +272,6 @@
 	return err == nil && n > 0
 }
 
-// innermost returns the connection that c wraps, through TLS and other wrappers, or c itself.
-func innermost(c net.Conn) net.Conn {
-	for {
-		outer, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return c
-		}
-		c = outer.NetConn()
-	}
-}
-
 // NetConn returns the connection that is wrapped.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -46,6 +46,21 @@
 	return errors.Join(err, failed)
 }
 
+// As returns c, or the outermost of the connections that it wraps, that is a T. Connections with TLS and the wrappers of this project
+// return the one that they wrap with the method NetConn.
+func As[T any](c net.Conn) (found T, ok bool) {
+	for {
+		if found, ok = c.(T); ok {
+			return found, true
+		}
+		outer, wraps := c.(interface{ NetConn() net.Conn })
+		if !wraps {
+			return found, false
+		}
+		c = outer.NetConn()
+	}
+}
+
 // setUserTimeout sets the time for which data may stay unacknowledged on a socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
