rankgroup: the distance of a reading is computed apart from what follows from it

hasShifted answered one question, and set the usual distance and the new mark of an unsettled estimate on its way, which add saved before and corrected after. distance now only computes; add decides and stores. The decisions are the same.

--- a/internal/rankgroup/popularity.go
+++ b/internal/rankgroup/popularity.go
@@ -40,13 +40,17 @@
 // popularity has shifted: add then discards the earlier choices and returns true. It also discards the new ones, since
 // some of them were made before the shift.
 func (p *popularity) add(chosen []float64) (shifted bool) {
-	before := p.unsettled
-	p.unsettled = false
-	if p.hasShifted(chosen) {
+	distance, known := p.distance(chosen)
+	shifted = known && distance > shiftDistanceFactor*p.usualDistance+minShiftDistance
+	differs := known && !shifted && distance > unsettledFactor*p.usualDistance
+	p.unsettled = differs && !p.unsettled // noise puts off a plan by one reading at most
+	if shifted {
 		clear(p.weightedCounts)
 		return true
 	}
-	p.unsettled = p.unsettled && !before // noise puts off a plan by one reading at most
+	if known {
+		p.usualDistance += distanceWeight * (distance - p.usualDistance)
+	}
 	for i, n := range chosen {
 		p.weightedCounts[i] += n
 	}
@@ -70,9 +74,9 @@
 	distanceWeight = 0.1
 )
 
-// hasShifted reports whether new choices differ from the estimate by more than noise. If they do not, it updates the
-// usual distance.
-func (p *popularity) hasShifted(chosen []float64) bool {
+// distance returns the mean distance of new choices from the estimate over the layers, from 0 to 1. known is false if no layer has
+// enough choices to tell.
+func (p *popularity) distance(chosen []float64) (mean float64, known bool) {
 	sum, layers := 0.0, 0
 	for l := range p.shape.Layers {
 		from, to := l*p.shape.Experts, (l+1)*p.shape.Experts
@@ -82,15 +86,9 @@
 		}
 	}
 	if layers == 0 {
-		return false
-	}
-	distance := sum / float64(layers)
-	if distance > shiftDistanceFactor*p.usualDistance+minShiftDistance {
-		return true
+		return 0, false
 	}
-	p.unsettled = distance > unsettledFactor*p.usualDistance
-	p.usualDistance += distanceWeight * (distance - p.usualDistance)
-	return false
+	return sum / float64(layers), true
 }
 
 // overlap returns the sum over all experts of the smaller of their two shares, from 0 to 1. ok is false if one of the
