--- a/review/stand3/env.go
+++ b/review/stand3/env.go
@@ -1,4 +1,4 @@
-// Command stand3 holds the stand-ins and the scenarios of the cases 11 to 15: it starts the project's own programs as separate
+// Command stand3 holds the stand-ins and the scenarios of the cases 11 and 12: it starts the project's own programs as separate
 // processes, plays one scenario and writes what was sent, answered and run.
 package main
 
@@ -25,7 +25,7 @@
 	dir     string // temporary files
 	daemon  string // path of camphorbankd
 	store   *store.Store
-	net     int // second and third byte of the loopback addresses
+	net     int // second byte of the loopback addresses; the third one follows from the process
 	hosts   int // addresses that were given out
 	nodes   []*node
 	runners []*runnerProcess
@@ -41,14 +41,12 @@
 	env                     *env
 	name, ip, settings      string
 	callers, ready, control string
-	engine                  string // address of the engine beside the process; empty for an entry
-	first                   bool   // the deployment starts for the first time
+	first                   bool // the deployment starts for the first time
 	cmd                     *exec.Cmd
 	done                    chan struct{}
 	log                     *os.File
 	seeds                   []string
 	zone                    string
-	bounds                  string // further lines of the table bounds
 }
 
 func newEnv(recordPath string) (*env, error) {
@@ -92,18 +90,11 @@
 	return n
 }
 
-// newRank returns a process beside an engine.
-func (e *env) newRank(name, zone, engine string) *node {
-	n := &node{env: e, name: name, ip: e.host(), zone: zone, settings: filepath.Join(e.dir, name+".toml"), engine: engine, first: true}
-	e.nodes = append(e.nodes, n)
-	return n
-}
-
 // connectSeeds names the first three entries as seeds of all processes.
 func (e *env) connectSeeds() {
 	var seeds []string
 	for _, n := range e.nodes {
-		if n.engine == "" && len(seeds) < 3 {
+		if len(seeds) < 3 {
 			seeds = append(seeds, n.control)
 		}
 	}
@@ -114,16 +105,11 @@
 
 // writeSettings writes the settings file, as the platform does before each start.
 func (n *node) writeSettings() error {
-	class, serves, listen, memory, fds := "front", `"front","control"`,
-		fmt.Sprintf("frontend = %q\nready = %q\ncontrol_plane = %q\n", n.callers, n.ready, n.control), 284, 4100
-	if n.engine != "" {
-		class, serves, listen, memory, fds = "side", `"side"`, "", 152, 2048
-	}
 	seeds, _ := json.Marshal(n.seeds)
 	text := fmt.Sprintf(`node_name = %q
-role = %q
-machine_class = %q
-serves = [%s]
+role = "entry"
+machine_class = "front"
+serves = ["front","control"]
 ip = %q
 zone = %q
 region = "ch-mitte"
@@ -134,15 +120,17 @@
 discovery = "platform"
 entry_mode = "vip"
 heartbeat_ms = 1200
-app = %q
 [zones]
 bern-a = "ch-mitte"
 bern-b = "ch-mitte"
 olten-c = "ch-mitte"
 [listen]
-%s[limits]
-memory_mb = %d
-max_fds = %d
+frontend = %q
+ready = %q
+control_plane = %q
+[limits]
+memory_mb = 284
+max_fds = 4100
 [bounds]
 stable_window_ms = 3000
 drain_ms = 2000
@@ -158,7 +146,7 @@
 fencing_enforced = true
 [platform]
 address = %q
-`, n.name, class, class, serves, n.ip, n.zone, seeds, n.first, n.engine, listen, memory, fds, n.env.store.Addr())
+`, n.name, n.ip, n.zone, seeds, n.first, n.callers, n.ready, n.control, n.env.store.Addr())
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
@@ -177,38 +165,13 @@
 	n.cmd = exec.Command(n.env.daemon, "-platform", "-metrics-port", "9464")
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CAMPHORBANK_NODE_FILE=" + n.settings}
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
-	if err := n.env.launch(n.cmd); err != nil {
+	if err := n.env.launch(n.cmd, func() { n.done = make(chan struct{}) }); err != nil {
 		return err
 	}
-	n.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); close(done) }(n.cmd, n.done)
 	return nil
 }
 
-// signal sends a signal to the process.
-func (n *node) signal(s syscall.Signal) {
-	n.env.notef("%s gets %v", n.name, s)
-	_ = n.cmd.Process.Signal(s) // an error means that it has ended
-}
-
-// terminate stops the process as planned, as the platform does: SIGKILL follows after the grace period.
-func (n *node) terminate() {
-	n.signal(syscall.SIGTERM)
-	select {
-	case <-n.done:
-	case <-time.After(8 * time.Second):
-		n.signal(syscall.SIGKILL)
-		<-n.done
-	}
-	n.env.notef("%s has ended", n.name)
-}
-
-// kill ends the process at once.
-func (n *node) kill() {
-	n.signal(syscall.SIGKILL)
-	<-n.done
-}
-
 // isReady asks the process as the platform does.
 func (n *node) isReady() bool {
 	resp, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + n.ready + "/-/readiness")
@@ -238,7 +201,7 @@
 	e.closed = true // nothing is started any more
 	e.mu.Unlock()
 	for _, n := range e.nodes {
-		if n.cmd == nil || n.done == nil {
+		if n.done == nil {
 			continue
 		}
 		_ = n.cmd.Process.Signal(syscall.SIGCONT)
@@ -263,14 +226,18 @@
 	e.record = nil
 }
 
-// launch starts a process, unless the scenario is over.
-func (e *env) launch(cmd *exec.Cmd) error {
+// launch starts a process, unless the scenario is over, and calls started, so that close ends the process.
+func (e *env) launch(cmd *exec.Cmd, started func()) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed {
 		return errClosed
 	}
-	return cmd.Start()
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	started()
+	return nil
 }
 
 var errClosed = errors.New("the scenario is over")
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -10,7 +10,7 @@
 )
 
 // scenarios are the plays of the cases, by the number of the case.
-var scenarios = map[string]func(*env) error{"11": playCrash, "12": playSpot}
+var scenarios = map[string]func(*env) error{"11": playCrashes(&drafts), "12": playCrashes(&bookings)}
 
 // Exit codes of a scenario.
 const (
@@ -25,8 +25,15 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) > 0 && args[0] == "runner" {
-		return runRunner(args[1:])
+	if len(args) > 0 {
+		switch args[0] {
+		case "runner":
+			return runRunner(args[1:])
+		case "question":
+			return runQuestion(args[1:])
+		case "listen":
+			return runListen()
+		}
 	}
 	if len(args) != 2 || scenarios[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// A runner of streams is a process of its own, so that a signal can end it. Its answers have neither a length nor chunks, and end
-// with their connection.
+// A runner is a process of its own, so that a signal can end it. Its answers have neither a length nor chunks, and end with their
+// connection.
 
 // Headers of the platform.
 const (
@@ -27,25 +27,25 @@
 	headerLast     = "Last-Event-Id"
 )
 
-// event returns one event of the stream of a request.
-func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n) }
-
-// runRunner serves streams until the process is killed. It prints a line for each request that it runs.
+// runRunner serves requests until the process is killed. It prints a line for each request that it runs.
 func runRunner(args []string) int {
 	f := flag.NewFlagSet("runner", flag.ContinueOnError)
 	id := f.String("id", "", "id of the runner")
 	listen := f.String("listen", "", "address")
-	events := f.Int("events", 24, "events of a stream")
-	pause := f.Duration("pause", 100*time.Millisecond, "pause between two events")
+	prefix := f.String("prefix", "", "prefix of the paths, which says what is served")
 	if f.Parse(args) != nil {
 		return exitNotRun
 	}
+	work := &drafts
+	if *prefix == bookings.prefix {
+		work = &bookings
+	}
 	l, err := net.Listen("tcp", *listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	s := &streamRunner{id: *id, events: *events, pause: *pause}
+	s := &runner{id: *id, work: work}
 	fmt.Println("listening")
 	for {
 		c, err := l.Accept()
@@ -56,21 +56,20 @@
 	}
 }
 
-type streamRunner struct {
-	id     string
-	events int
-	pause  time.Duration
-	mu     sync.Mutex // guards the standard output
+type runner struct {
+	id   string
+	work *load
+	mu   sync.Mutex // guards the standard output
 }
 
-func (s *streamRunner) printf(format string, args ...any) {
+func (s *runner) printf(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Printf(format+"\n", args...)
 }
 
 // serve serves one connection. An answer of a run ends it.
-func (s *streamRunner) serve(c net.Conn) {
+func (s *runner) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
@@ -87,12 +86,16 @@
 			continue
 		}
 		from, _ := strconv.Atoi(req.Header.Get(headerLast))
-		s.printf("run %s after event %d", id, from)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", headerID, id, headerStamp, s.id)
-		for n := from + 1; n <= s.events; n++ {
-			time.Sleep(s.pause)
-			if _, err := io.WriteString(c, event(id, n)); err != nil {
-				s.printf("cut %s at event %d", id, n)
+		s.printf("run %s after piece %d", id, from)
+		contentType := "text/plain"
+		if s.work.stream {
+			contentType = "text/event-stream"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", headerID, id, headerStamp, s.id, contentType)
+		for n := from + 1; n <= s.work.pieces; n++ {
+			time.Sleep(s.work.pause)
+			if _, err := io.WriteString(c, s.work.piece(id, n)); err != nil {
+				s.printf("cut %s at piece %d", id, n)
 				return
 			}
 		}
@@ -104,13 +107,13 @@
 // runnerProcess is the process of a runner.
 type runnerProcess struct {
 	id, addr string
-	born     int64 // Unix milliseconds
 	cmd      *exec.Cmd
 	done     chan struct{}
 }
 
-// startRunner starts a runner at an unused address and waits until it listens.
-func (e *env) startRunner(id string, args ...string) (*runnerProcess, error) {
+// startRunner starts a runner at an unused address, waits until it listens, and enters it in the store.
+func (e *env) startRunner(work *load, number int) (*runnerProcess, error) {
+	id := fmt.Sprintf("i-%d", number)
 	l, err := e.listen()
 	if err != nil {
 		return nil, err
@@ -121,16 +124,15 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runnerProcess{id: id, addr: addr, born: time.Now().UnixMilli(), cmd: exec.Command(self, append([]string{"runner", "-id", id, "-listen", addr}, args...)...), done: make(chan struct{})}
+	r := &runnerProcess{id: id, addr: addr, cmd: exec.Command(self, "runner", "-id", id, "-listen", addr, "-prefix", work.prefix), done: make(chan struct{})}
 	out, err := r.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
 	}
 	r.cmd.Stderr = os.Stderr
-	if err := e.launch(r.cmd); err != nil {
+	if err := e.launch(r.cmd, func() { e.runners = append(e.runners, r) }); err != nil {
 		return nil, err
 	}
-	e.runners = append(e.runners, r)
 	listening := make(chan struct{})
 	go func() {
 		lines := bufio.NewScanner(out)
@@ -149,11 +151,7 @@
 	case <-r.done:
 		return nil, fmt.Errorf("runner %s does not start", id)
 	}
+	e.put("servers/"+id, map[string]any{"service": work.service, "address": addr, "zone": "bern-a", "version": "v1", "slots": work.slots,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli()})
 	return r, nil
 }
-
-// put writes the runner's entry to the store.
-func (r *runnerProcess) put(e *env, service, state string) {
-	e.put("servers/"+r.id, map[string]any{"service": service, "address": r.addr, "zone": "bern-a", "version": "v1", "slots": 12,
-		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": r.born})
-}
